--- /dev/null
+++ b/base/include/base/code.h
@@ -0,0 +1,95 @@
+/** @file
+ * Numbered result codes. docs/RESULT-CODES.md lists them for users.
+ *
+ * A code tells whether the work was run: a refusal with CODE_NOT_RUN means
+ * that no task of the submission was started by it.
+ */
+#ifndef BASE_CODE_H
+#define BASE_CODE_H
+
+/** Whether the work behind a result code was run. */
+enum code_run {
+    CODE_RAN,     /**< The work was run to its end. */
+    CODE_NOT_RUN, /**< The work was not started. */
+    CODE_PARTLY,  /**< Some of the work was run, none of it twice. */
+    CODE_UNKNOWN, /**< It cannot be known whether the work was run. */
+};
+
+/* X(name, number, HTTP status, run state, text) */
+#define CODE_TABLE(X)                                                         \
+    X(OK, 0, 200, CODE_RAN, "complete")                                       \
+    X(BAD_HTTP, 1001, 400, CODE_NOT_RUN, "malformed HTTP request")            \
+    X(BAD_JSON, 1002, 400, CODE_NOT_RUN, "body is not valid JSON")            \
+    X(BAD_FIELD, 1003, 400, CODE_NOT_RUN, "field missing or out of range")    \
+    X(BODY_TOO_LARGE, 1004, 413, CODE_NOT_RUN, "body too large")              \
+    X(TOO_MANY_TASKS, 1005, 400, CODE_NOT_RUN, "more than 820 tasks")         \
+    X(DUPLICATE_TASK, 1006, 400, CODE_NOT_RUN, "task number given twice")     \
+    X(DEADLINE_PASSED, 1007, 504, CODE_NOT_RUN, "deadline already passed")    \
+    X(UNKNOWN_SERVICE, 1008, 404, CODE_NOT_RUN, "no such service")            \
+    X(NO_SUCH_PATH, 1009, 404, CODE_NOT_RUN, "no such path or method")        \
+    X(BAD_KEY, 1010, 400, CODE_NOT_RUN, "idempotency key not issued here")    \
+    X(BAD_TOKEN, 1011, 401, CODE_NOT_RUN, "token missing or wrong")           \
+    X(KEY_REUSED, 1012, 409, CODE_NOT_RUN,                                    \
+      "idempotency key used with another body")                               \
+    X(QUEUE_FULL, 1101, 503, CODE_NOT_RUN, "queue full")                      \
+    X(TOO_LATE, 1102, 503, CODE_NOT_RUN, "cannot finish before deadline")     \
+    X(OVER_QUOTA, 1103, 429, CODE_NOT_RUN, "over the team's quota")           \
+    X(CANNOT_RUN, 1104, 422, CODE_NOT_RUN, "fits no worker of the service")   \
+    X(CANCELLED, 1105, 409, CODE_NOT_RUN, "cancelled before it started")      \
+    X(DRAINING, 1106, 503, CODE_NOT_RUN, "process is stopping")               \
+    X(NOT_FRESH, 1107, 503, CODE_NOT_RUN, "configuration not known fresh")    \
+    X(NO_MEMORY, 1108, 503, CODE_NOT_RUN, "table full")                       \
+    X(NO_OWNER, 1109, 503, CODE_NOT_RUN, "owner of the key not reachable")    \
+    X(OLD_EPOCH, 1201, 503, CODE_NOT_RUN, "epoch superseded")                 \
+    X(OLD_ATTEMPT, 1202, 503, CODE_NOT_RUN, "attempt superseded")             \
+    X(WRONG_INCARNATION, 1203, 503, CODE_NOT_RUN,                             \
+      "meant for another process")                                            \
+    X(NO_SLOT, 1204, 503, CODE_NOT_RUN, "no free slot")                       \
+    X(NO_UPSTREAM, 1205, 503, CODE_NOT_RUN, "no upstream announced")          \
+    X(NOT_ADMITTED, 1206, 503, CODE_NOT_RUN, "agent not yet admitted")        \
+    X(KEY_TOO_OLD, 1207, 503, CODE_NOT_RUN,                                   \
+      "key older than the agent's memory")                                    \
+    X(OUT_OF_SERVICE, 1208, 503, CODE_NOT_RUN, "data centre or upstream out") \
+    X(TASK_FAILED, 2001, 502, CODE_RAN, "a task failed")                      \
+    X(JOB_DEADLINE, 2002, 504, CODE_PARTLY, "deadline passed while running")  \
+    X(JOB_CANCELLED, 2003, 409, CODE_PARTLY, "cancelled while running")       \
+    X(LEASE_LAPSED, 2004, 502, CODE_PARTLY, "task outlived its lease")        \
+    X(OUTCOME_UNKNOWN, 3001, 502, CODE_UNKNOWN, "outcome unknown")            \
+    X(KEY_EXPIRED, 3002, 410, CODE_UNKNOWN,                                   \
+      "idempotency key expired; an earlier outcome is no longer known")       \
+    X(CONFLICT, 4001, 409, CODE_NOT_RUN, "another change came first")         \
+    X(STORE_DOWN, 4002, 503, CODE_NOT_RUN, "table service not reachable")     \
+    X(NOT_ACCEPTED, 4003, 504, CODE_UNKNOWN, "change not accepted in time")   \
+    X(BAD_SETTING, 4004, 400, CODE_NOT_RUN, "setting not valid")              \
+    X(LAST_DATA_CENTRE, 4005, 409, CODE_NOT_RUN, "last data centre in use")   \
+    X(BAD_FRAME, 5001, 400, CODE_NOT_RUN, "bytes are not a valid message")    \
+    X(BAD_VERSION, 5002, 400, CODE_NOT_RUN, "message version not known")      \
+    X(BAD_MAC, 5003, 401, CODE_NOT_RUN, "message not signed with our key")    \
+    X(SYSTEM, 9001, 500, CODE_NOT_RUN, "system call or library failed")
+
+/** Result codes, CODE_OK and on. */
+enum code {
+#define X(name, number, status, run, text) CODE_##name = (number),
+    CODE_TABLE(X)
+#undef X
+};
+
+/** Name of a code in upper case, or "UNKNOWN_CODE". */
+const char *Code_Name(enum code code);
+
+/** One short sentence for people. */
+const char *Code_Text(enum code code);
+
+/** HTTP status that goes with the code. */
+int Code_HttpStatus(enum code code);
+
+/** Whether the work behind the code was run. */
+enum code_run Code_Run(enum code code);
+
+/** "run", "not run", "partly run" or "unknown". */
+const char *Code_RunText(enum code_run run);
+
+/** True when `number` is in the table. */
+int Code_IsKnown(unsigned number);
+
+#endif
--- /dev/null
+++ b/base/src/tab.c
@@ -0,0 +1,110 @@
+#include "base/tab.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SLOT_BITS 16
+#define SLOT_MASK 0xffffu
+#define MAX_CAPACITY 0xffffu
+
+static struct tab_row *
+row_at(const struct tab *tab, uint32_t slot)
+{
+    return (struct tab_row *)(tab->rows + (size_t)slot * tab->row_size);
+}
+
+int
+Tab_Init(struct tab *tab, size_t row_size, uint32_t capacity)
+{
+    memset(tab, 0, sizeof(*tab));
+    if (capacity > MAX_CAPACITY) {
+        return -1;
+    }
+    tab->rows = calloc(capacity, row_size);
+    if (!tab->rows) {
+        return -1;
+    }
+    tab->row_size = row_size;
+    tab->capacity = capacity;
+    tab->free_head = UINT32_MAX;
+    return 0;
+}
+
+void
+Tab_Finish(struct tab *tab)
+{
+    free(tab->rows);
+    memset(tab, 0, sizeof(*tab));
+}
+
+void *
+Tab_Add(struct tab *tab)
+{
+    struct tab_row *row;
+    if (tab->free_head != UINT32_MAX) {
+        row = row_at(tab, tab->free_head);
+        tab->free_head = row->next_free;
+    }
+    else if (tab->fresh < tab->capacity) {
+        row = row_at(tab, tab->fresh++);
+    }
+    else {
+        return NULL;
+    }
+    uint16_t generation = (uint16_t)(row->generation + 1);
+    memset(row, 0, tab->row_size);
+    row->generation = generation ? generation : 1;
+    row->in_use = 1;
+    tab->used++;
+    return row;
+}
+
+static uint32_t
+slot_of(const struct tab *tab, const void *row)
+{
+    return (uint32_t)((size_t)((const unsigned char *)row - tab->rows) /
+                      tab->row_size);
+}
+
+void
+Tab_Remove(struct tab *tab, void *row)
+{
+    struct tab_row *head = row;
+    head->in_use = 0;
+    head->next_free = tab->free_head;
+    tab->free_head = slot_of(tab, row);
+    tab->used--;
+}
+
+tab_handle
+Tab_Handle(const struct tab *tab, const void *row)
+{
+    const struct tab_row *head = row;
+    return ((uint32_t)head->generation << SLOT_BITS) | slot_of(tab, row);
+}
+
+void *
+Tab_Get(const struct tab *tab, tab_handle handle)
+{
+    uint32_t slot = handle & SLOT_MASK;
+    if (slot >= tab->fresh) {
+        return NULL;
+    }
+    struct tab_row *row = row_at(tab, slot);
+    if (!row->in_use || row->generation != handle >> SLOT_BITS) {
+        return NULL;
+    }
+    return row;
+}
+
+void *
+Tab_Next(const struct tab *tab, uint32_t *slot)
+{
+    while (*slot < tab->fresh) {
+        struct tab_row *row = row_at(tab, (*slot)++);
+        if (row->in_use) {
+            return row;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,84 @@
+/* Tables, codes, errors and counters. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "base/code.h"
+#include "base/counter.h"
+#include "base/err.h"
+#include "base/tab.h"
+
+struct row {
+    struct tab_row head;
+    int value;
+};
+
+static void
+handle_of_removed_row_finds_nothing(void **state)
+{
+    (void)state;
+    struct tab tab;
+    assert_int_equal(Tab_Init(&tab, sizeof(struct row), 2), 0);
+    struct row *first = Tab_Add(&tab);
+    tab_handle handle = Tab_Handle(&tab, first);
+    assert_ptr_equal(Tab_Get(&tab, handle), first);
+    Tab_Remove(&tab, first);
+    assert_null(Tab_Get(&tab, handle));
+    struct row *again = Tab_Add(&tab);
+    assert_ptr_equal(again, first);
+    assert_null(Tab_Get(&tab, handle));
+    Tab_Finish(&tab);
+}
+
+static void
+full_table_gives_no_row(void **state)
+{
+    (void)state;
+    struct tab tab;
+    assert_int_equal(Tab_Init(&tab, sizeof(struct row), 2), 0);
+    assert_non_null(Tab_Add(&tab));
+    assert_non_null(Tab_Add(&tab));
+    assert_null(Tab_Add(&tab));
+    assert_int_equal(tab.used, 2);
+    Tab_Finish(&tab);
+}
+
+static void
+first_error_is_kept(void **state)
+{
+    (void)state;
+    struct err err = {0};
+    assert_int_equal(Err_Set(&err, CODE_BAD_JSON, "line %d", 3), -1);
+    Err_Set(&err, CODE_BAD_FIELD, "second");
+    assert_int_equal(err.code, CODE_BAD_JSON);
+    assert_string_equal(err.text, "line 3");
+}
+
+static void
+counters_print_by_name_and_code(void **state)
+{
+    (void)state;
+    struct counters counters = {0};
+    char text[16384];
+    CTR_INC(&counters, takeovers);
+    Ctr_Code(&counters, CODE_QUEUE_FULL);
+    int used = Ctr_Print(&counters, text, sizeof(text));
+    assert_in_range(used, 1, sizeof(text) - 1);
+    assert_non_null(strstr(text, "jacinthpick_takeovers 1\n"));
+    assert_non_null(strstr(text, "name=\"QUEUE_FULL\"} 1\n"));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(handle_of_removed_row_finds_nothing),
+        cmocka_unit_test(full_table_gives_no_row),
+        cmocka_unit_test(first_error_is_kept),
+        cmocka_unit_test(counters_print_by_name_and_code),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
