Add a relay stand-in and an address that peers use

Cause: silent, delayed and dropped connections between our processes could not be brought about in a test. The relay passes TCP bytes and takes faults over HTTP; a process may now name another address for its peers than the one it listens on (public_internal), so a relay can stand before it.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -268,7 +268,7 @@
     head->from = incarnation;
     head->role = ROLE_AGENT;
     memcpy(head->node, settings->node, sizeof(head->node));
-    memcpy(head->addr, settings->listen_internal, sizeof(head->addr));
+    memcpy(head->addr, settings->public_internal, sizeof(head->addr));
     memcpy(head->dc, settings->data_centre, sizeof(head->dc));
 }
 
@@ -291,8 +291,9 @@
         return Err_Set(err, CODE_NO_MEMORY, "no memory for the tables");
     }
     if (Loop_Init(&daemon->loop, err) ||
-        Link_Init(&daemon->links, &daemon->loop, &head, &daemon->secret,
-                  on_message, daemon, &daemon->counters, err) ||
+        Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
+                  &head, &daemon->secret, on_message, daemon,
+                  &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
                    &daemon->counters, err) ||
         Hc_Init(&daemon->upstream, &daemon->loop, HC_MAX_LANES, err) ||
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -358,7 +358,7 @@
     head->from = incarnation;
     head->role = ROLE_ENTRY;
     memcpy(head->node, settings->node, sizeof(head->node));
-    memcpy(head->addr, settings->listen_internal, sizeof(head->addr));
+    memcpy(head->addr, settings->public_internal, sizeof(head->addr));
     memcpy(head->dc, settings->data_centre, sizeof(head->dc));
 }
 
@@ -394,8 +394,9 @@
     fill_head(&head, settings, incarnation);
     if (start_core(daemon, incarnation, err) ||
         Loop_Init(&daemon->loop, err) ||
-        Link_Init(&daemon->links, &daemon->loop, &head, &daemon->secret,
-                  on_message, daemon, &daemon->counters, err) ||
+        Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
+                  &head, &daemon->secret, on_message, daemon,
+                  &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
                    &daemon->counters, err) ||
         Hs_Init(&daemon->httpd, &daemon->loop, settings->listen_http, cert,
--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -23,8 +23,11 @@
 }
 
 settings() { # role node data_centre http_port internal_port
+  local public=$5
+  case " ${RELAYED:-} " in *" $2 "*) public=$(($5 + 400)) ;; esac
   cat <<JSON
 {"role": "$1", "node": "$2", "region": "great-lakes", "data_centre": "$3",
+ "public_internal": "127.0.0.1:$public",
  "listen_http": "127.0.0.1:$4", "listen_internal": "127.0.0.1:$5",
  "table_service": "127.0.0.1:$BASE_PORT", "cluster_key": "$KEY_PHRASE"}
 JSON
@@ -77,3 +80,19 @@
 
 count_starts() { cat "$WORK"/journal-* 2>/dev/null | awk -v k="$1" '$1 == "start" && $2 == k' | wc -l; }
 count_repeats() { cat "$WORK"/journal-* 2>/dev/null | awk -v k="$1" '$1 == "start" && $2 == k {n[$3]++} END {for (t in n) if (n[t] > 1) r += n[t] - 1; print r + 0}'; }
+
+# A relay in front of a process's internal address, to be started before it:
+# set RELAYED="entry-1 agent-2" and other processes reach these through it.
+start_relay() { # entry|agent number
+  local base=200
+  [ "$1" = agent ] && base=400
+  local port=$((BASE_PORT + base + $2))
+  start "relay-$1-$2" "$BUILD/standins/standin-relay" --listen "127.0.0.1:$((port + 400))" \
+    --to "127.0.0.1:$port" --control "127.0.0.1:$((port + 410))"
+}
+
+relay_faults() { # entry|agent number json
+  local base=200
+  [ "$1" = agent ] && base=400
+  curl -s -d "$3" "127.0.0.1:$((BASE_PORT + base + $2 + 410))/faults" >/dev/null
+}
--- a/shell/include/shell/link.h
+++ b/shell/include/shell/link.h
@@ -44,8 +44,8 @@
     struct counters *counters;
 };
 
-/** Listen on head->addr. */
-int Link_Init(struct links *links, struct loop *loop,
+/** Listen on `listen`, "ip:port"; peers reach it as head->addr. */
+int Link_Init(struct links *links, struct loop *loop, const char *listen,
               const struct frame_head *head, const struct key_secret *secret,
               link_visit *visit, void *context, struct counters *counters,
               struct err *err);
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -22,6 +22,7 @@
     char rack[WIRE_NAME_SIZE];
     char listen_http[WIRE_ADDR_SIZE];
     char listen_internal[WIRE_ADDR_SIZE];
+    char public_internal[WIRE_ADDR_SIZE];
     char table_service[WIRE_ADDR_SIZE];
     char cluster_key[SET_TEXT_SIZE];
     char tls_certificate[SET_TEXT_SIZE];
--- a/shell/src/link.c
+++ b/shell/src/link.c
@@ -108,7 +108,7 @@
 }
 
 int
-Link_Init(struct links *links, struct loop *loop,
+Link_Init(struct links *links, struct loop *loop, const char *listen,
           const struct frame_head *head, const struct key_secret *secret,
           link_visit *visit, void *context, struct counters *counters,
           struct err *err)
@@ -124,7 +124,7 @@
     if (Tab_Init(&links->peers, sizeof(struct link_peer), LINK_MAX_PEERS)) {
         return Err_Set(err, CODE_NO_MEMORY, "no memory for links");
     }
-    snprintf(url, sizeof(url), "tcp://%s", head->addr);
+    snprintf(url, sizeof(url), "tcp://%s", listen);
     int status = nng_pull0_open(&links->socket);
     if (!status) {
         nng_socket_set_int(links->socket, NNG_OPT_RECVBUF, RECV_BUFFER);
@@ -132,7 +132,7 @@
         status = nng_listen(links->socket, url, NULL, 0);
     }
     if (status) {
-        return Err_Set(err, CODE_SYSTEM, "cannot listen on %s: %s", head->addr,
+        return Err_Set(err, CODE_SYSTEM, "cannot listen on %s: %s", listen,
                        nng_strerror(status));
     }
     return adopt_socket(links, err);
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -127,7 +127,7 @@
         "checks", "key", key, "version", (json_int_t)registry->row_version,
         "writes", "key", key, "value", "node", settings->node, "role",
         settings->role, "incarnation", incarnation, "address",
-        settings->listen_internal, "http", settings->listen_http,
+        settings->public_internal, "http", settings->listen_http,
         "data_centre", settings->data_centre, "region", settings->region,
         "rack", settings->rack, "replaced", registry->row_replaced);
     registry->busy = 1;
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -39,6 +39,8 @@
      "address for callers, operators and upstreams"},
     {"listen_internal", KIND_ADDR, AT(listen_internal), 0, 0, 0, NULL, NULL,
      "address for our own processes"},
+    {"public_internal", KIND_ADDR, AT(public_internal), 0, 0, 0, "", NULL,
+     "where other processes reach that address; \"\" for the address itself"},
     {"table_service", KIND_ADDR, AT(table_service), 0, 0, 0, NULL, NULL,
      "address of the platform's table service"},
     {"cluster_key", KIND_TEXT, AT(cluster_key), 16, SET_TEXT_SIZE - 1, 0, NULL,
@@ -205,7 +207,14 @@
             return -1;
         }
     }
-    return set_fallbacks(settings, root, err);
+    if (set_fallbacks(settings, root, err)) {
+        return -1;
+    }
+    if (settings->public_internal[0] == '\0') {
+        memcpy(settings->public_internal, settings->listen_internal,
+               sizeof(settings->public_internal));
+    }
+    return 0;
 }
 
 static void
