--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	@./fuzz/run
 
 docs: setup
-	@doxygen -q docs/Doxyfile
+	@mkdir -p out && doxygen docs/Doxyfile
 
 clean:
 	@rm -rf $(BUILD) build-* out
--- a/core/include/core/act.h
+++ b/core/include/core/act.h
@@ -15,6 +15,7 @@
 /** Most pending rows, waiters and the like are found by such numbers. */
 typedef uint64_t conn_id;
 
+/** Kind of an action. */
 enum act_type {
     ACT_SEND,  /**< Send a message to a process. */
     ACT_REPLY, /**< Answer a caller's connection. */
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -114,6 +114,7 @@
     struct epoch epoch;
 };
 
+/** Kind of a message; numbers on the wire. */
 enum msg_type {
     MSG_BEAT = 1,
     MSG_AGENT,
