Extend the messages: numbered reports, body hash, handover

Cause: a taker counted MSG_HELD records, so a record sent twice could stand for one that was lost; a key reused with another body was not seen after a takeover; nothing could pass a stopping process's knowledge on.

--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -130,6 +130,9 @@
     MSG_ANSWER,
     MSG_ASK,
     MSG_STATE,
+    MSG_TAKEN,
+    MSG_HANDOVER,
+    MSG_HANDED,
 };
 
 /** Heartbeat, both ways. */
@@ -169,10 +172,12 @@
     unsigned flags;       /**< enum sub_flags. */
     char kind[WIRE_NAME_SIZE];
     char team[WIRE_NAME_SIZE];
+    uint64_t body_hash; /**< Of the whole submission that it belongs to. */
     struct bytes input;
 };
 
-/** Agent to owner: a task's outcome, or a refusal of a start. */
+/** Agent to owner: a task's outcome, or a refusal of a start. As MSG_HELD,
+ * agent to taker: what is remembered of a task. */
 struct msg_result {
     struct key key;
     struct epoch epoch; /**< Highest epoch that the agent knows. */
@@ -181,7 +186,10 @@
     enum task_state state;
     enum code code;
     uint32_t run_us;
-    uint32_t busy; /**< Slots taken at the agent after this. */
+    uint32_t busy;      /**< Slots taken at the agent after this. */
+    uint64_t body_hash; /**< The one of the start; MSG_HELD only. */
+    uint32_t report;    /**< Report that it belongs to; MSG_HELD only. */
+    uint32_t index;     /**< Place in the report, from 0; MSG_HELD only. */
     struct bytes output;
 };
 
@@ -206,7 +214,8 @@
 struct msg_fenced {
     uint64_t issuer;
     struct epoch epoch;   /**< Highest epoch that the agent knows. */
-    uint32_t count;       /**< MSG_HELD records sent for it. */
+    uint32_t report;      /**< Number of this report, rising. */
+    uint32_t count;       /**< MSG_HELD records in the report. */
     uint32_t forgotten_s; /**< The agent's forgetting watermark. */
 };
 
@@ -238,6 +247,28 @@
     struct bytes rows;
 };
 
+/** Owner to a stopping agent: the outcome of a task is safe here. */
+struct msg_taken {
+    struct key key;
+    uint32_t task;
+};
+
+/** Stopping owner to its successor: an answered job, or, with `last` set
+ * and only the issuer of the key of use, the end of a range. */
+struct msg_handover {
+    struct answer answer;
+    uint64_t body_hash;
+    struct epoch epoch; /**< Under which the sender owned the range. */
+    uint8_t last;
+};
+
+/** Successor to stopping owner: it has what MSG_HANDOVER told. */
+struct msg_handed {
+    struct key key;
+    struct epoch epoch; /**< Of the range at the successor. */
+    uint8_t last;
+};
+
 /** One message. */
 struct msg {
     enum msg_type type;
@@ -255,6 +286,9 @@
         struct msg_answer answer;
         struct msg_ask ask;
         struct msg_state state;
+        struct msg_taken taken;
+        struct msg_handover handover;
+        struct msg_handed handed;
     } u;
 };
 
--- /dev/null
+++ b/wire/src/decode.c
@@ -0,0 +1,128 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "unpack.h"
+
+void *
+Unpk_Array(struct arena *arena, size_t count, size_t size)
+{
+    if (arena->count == arena->room) {
+        uint32_t room = arena->room ? 2 * arena->room : 8;
+        void **blocks = realloc(arena->blocks, room * sizeof(void *));
+        if (!blocks) {
+            return NULL;
+        }
+        arena->blocks = blocks;
+        arena->room = room;
+    }
+    void *block = calloc(count ? count : 1, size);
+    if (block) {
+        arena->blocks[arena->count++] = block;
+    }
+    return block;
+}
+
+static void
+arena_finish(struct arena *arena)
+{
+    for (uint32_t i = 0; i < arena->count; i++) {
+        free(arena->blocks[i]);
+    }
+    free(arena->blocks);
+}
+
+/* Messages of a frame, decoded before any of them is visited. */
+struct batch {
+    struct msg *items;
+    uint32_t count;
+    uint32_t room;
+};
+
+static struct msg *
+batch_add(struct batch *batch)
+{
+    if (batch->count == batch->room) {
+        uint32_t room = batch->room ? 2 * batch->room : 16;
+        struct msg *items = realloc(batch->items, room * sizeof(*items));
+        if (!items) {
+            return NULL;
+        }
+        batch->items = items;
+        batch->room = room;
+    }
+    return &batch->items[batch->count++];
+}
+
+static int
+decode_body(const char *data, size_t size, msgpack_zone *zone,
+            struct frame_head *head, struct batch *batch, struct arena *arena,
+            struct err *err)
+{
+    size_t offset = 0;
+    int first = 1;
+    while (offset < size) {
+        msgpack_object object;
+        msgpack_unpack_return got =
+            msgpack_unpack(data, size, &offset, zone, &object);
+        if (got != MSGPACK_UNPACK_SUCCESS &&
+            got != MSGPACK_UNPACK_EXTRA_BYTES) {
+            return Err_Set(err, CODE_BAD_FRAME, "not MessagePack");
+        }
+        if (first) {
+            first = 0;
+            if (Unpk_Head(&object, head, err)) {
+                return -1;
+            }
+            continue;
+        }
+        struct msg *msg = batch_add(batch);
+        if (!msg || Unpk_Msg(&object, msg, arena)) {
+            return Err_Set(err, CODE_BAD_FRAME, "bad message %u",
+                           batch->count);
+        }
+    }
+    return first ? Err_Set(err, CODE_BAD_FRAME, "empty") : 0;
+}
+
+static int
+check_mac(const unsigned char *data, size_t size,
+          const struct key_secret *secret, struct err *err)
+{
+    unsigned char mac[KEY_MAC_SIZE];
+    if (size <= KEY_MAC_SIZE || size > FRAME_MAX_SIZE) {
+        return Err_Set(err, CODE_BAD_FRAME, "%zu bytes", size);
+    }
+    crypto_generichash(mac, sizeof(mac), data + KEY_MAC_SIZE,
+                       size - KEY_MAC_SIZE, secret->bytes, KEY_SECRET_SIZE);
+    if (sodium_memcmp(mac, data, sizeof(mac)) != 0) {
+        return Err_Set(err, CODE_BAD_MAC, "signature does not match");
+    }
+    return 0;
+}
+
+int
+Frame_Decode(const void *data, size_t size, const struct key_secret *secret,
+             frame_visit *visit, void *context, struct err *err)
+{
+    struct frame_head head;
+    struct batch batch = {0};
+    struct arena arena = {0};
+    msgpack_zone zone;
+    if (check_mac(data, size, secret, err)) {
+        return -1;
+    }
+    if (!msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE)) {
+        return Err_Set(err, CODE_NO_MEMORY, "no memory");
+    }
+    int status =
+        decode_body((const char *)data + KEY_MAC_SIZE, size - KEY_MAC_SIZE,
+                    &zone, &head, &batch, &arena, err);
+    for (uint32_t i = 0; status == 0 && i < batch.count; i++) {
+        visit(context, &head, &batch.items[i]);
+    }
+    msgpack_zone_destroy(&zone);
+    arena_finish(&arena);
+    free(batch.items);
+    return status;
+}
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -81,7 +81,7 @@
 static void
 put_start(msgpack_packer *pk, const struct msg_start *m)
 {
-    msgpack_pack_array(pk, 12);
+    msgpack_pack_array(pk, 13);
     put_uint(pk, MSG_START);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -92,13 +92,14 @@
     put_uint(pk, m->flags);
     put_str(pk, m->kind);
     put_str(pk, m->team);
+    put_uint(pk, m->body_hash);
     put_bytes(pk, m->input);
 }
 
 static void
 put_result(msgpack_packer *pk, enum msg_type type, const struct msg_result *m)
 {
-    msgpack_pack_array(pk, 11);
+    msgpack_pack_array(pk, type == MSG_HELD ? 14 : 11);
     put_uint(pk, type);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -108,16 +109,22 @@
     put_uint(pk, m->code);
     put_uint(pk, m->run_us);
     put_uint(pk, m->busy);
+    if (type == MSG_HELD) {
+        put_uint(pk, m->body_hash);
+        put_uint(pk, m->report);
+        put_uint(pk, m->index);
+    }
     put_bytes(pk, m->output);
 }
 
 static void
 put_fenced(msgpack_packer *pk, const struct msg_fenced *m)
 {
-    msgpack_pack_array(pk, 6);
+    msgpack_pack_array(pk, 7);
     put_uint(pk, MSG_FENCED);
     put_uint(pk, m->issuer);
     put_epoch(pk, m->epoch);
+    put_uint(pk, m->report);
     put_uint(pk, m->count);
     put_uint(pk, m->forgotten_s);
 }
@@ -146,13 +153,10 @@
     }
 }
 
+/* Five elements of the message's array. */
 static void
-put_answer(msgpack_packer *pk, const struct msg_answer *m)
+put_answer(msgpack_packer *pk, const struct answer *answer)
 {
-    const struct answer *answer = &m->answer;
-    msgpack_pack_array(pk, 7);
-    put_uint(pk, MSG_ANSWER);
-    put_uint(pk, m->conn);
     put_key(pk, &answer->key);
     put_uint(pk, answer->code);
     put_str(pk, answer->detail);
@@ -165,6 +169,27 @@
     }
 }
 
+static void
+put_handover(msgpack_packer *pk, const struct msg_handover *m)
+{
+    msgpack_pack_array(pk, 10);
+    put_uint(pk, MSG_HANDOVER);
+    put_answer(pk, &m->answer);
+    put_uint(pk, m->body_hash);
+    put_epoch(pk, m->epoch);
+    put_uint(pk, m->last);
+}
+
+static void
+put_handed(msgpack_packer *pk, const struct msg_handed *m)
+{
+    msgpack_pack_array(pk, 5);
+    put_uint(pk, MSG_HANDED);
+    put_key(pk, &m->key);
+    put_epoch(pk, m->epoch);
+    put_uint(pk, m->last);
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -209,7 +234,10 @@
         put_submit(pk, &msg->u.submit);
         break;
     case MSG_ANSWER:
-        put_answer(pk, &msg->u.answer);
+        msgpack_pack_array(pk, 7);
+        put_uint(pk, MSG_ANSWER);
+        put_uint(pk, msg->u.answer.conn);
+        put_answer(pk, &msg->u.answer.answer);
         break;
     case MSG_ASK:
         msgpack_pack_array(pk, 4);
@@ -224,6 +252,18 @@
         put_uint(pk, msg->u.state.version);
         put_bytes(pk, msg->u.state.rows);
         break;
+    case MSG_TAKEN:
+        msgpack_pack_array(pk, 3);
+        put_uint(pk, MSG_TAKEN);
+        put_key(pk, &msg->u.taken.key);
+        put_uint(pk, msg->u.taken.task);
+        break;
+    case MSG_HANDOVER:
+        put_handover(pk, &msg->u.handover);
+        break;
+    case MSG_HANDED:
+        put_handed(pk, &msg->u.handed);
+        break;
     }
 }
 
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -1,4 +1,4 @@
-#include "wire/frame.h"
+#include "unpack.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -164,11 +164,12 @@
     m->flags = take_u32(c);
     take_str(c, m->kind, sizeof(m->kind));
     take_str(c, m->team, sizeof(m->team));
+    m->body_hash = take_u64(c);
     m->input = take_bytes(c);
 }
 
 static void
-get_result(struct cursor *c, struct msg_result *m)
+get_result(struct cursor *c, enum msg_type type, struct msg_result *m)
 {
     take_key(c, &m->key);
     take_epoch(c, &m->epoch);
@@ -181,6 +182,11 @@
     m->code = take_code(c);
     m->run_us = take_u32(c);
     m->busy = take_u32(c);
+    if (type == MSG_HELD) {
+        m->body_hash = take_u64(c);
+        m->report = take_u32(c);
+        m->index = take_u32(c);
+    }
     m->output = take_bytes(c);
 }
 
@@ -189,45 +195,11 @@
 {
     m->issuer = take_u64(c);
     take_epoch(c, &m->epoch);
+    m->report = take_u32(c);
     m->count = take_u32(c);
     m->forgotten_s = take_u32(c);
 }
 
-/* Arrays that messages point to, freed when the frame has been visited. */
-struct arena {
-    void **blocks;
-    uint32_t count;
-    uint32_t room;
-};
-
-static void *
-arena_array(struct arena *arena, size_t count, size_t size)
-{
-    if (arena->count == arena->room) {
-        uint32_t room = arena->room ? 2 * arena->room : 8;
-        void **blocks = realloc(arena->blocks, room * sizeof(void *));
-        if (!blocks) {
-            return NULL;
-        }
-        arena->blocks = blocks;
-        arena->room = room;
-    }
-    void *block = calloc(count ? count : 1, size);
-    if (block) {
-        arena->blocks[arena->count++] = block;
-    }
-    return block;
-}
-
-static void
-arena_finish(struct arena *arena)
-{
-    for (uint32_t i = 0; i < arena->count; i++) {
-        free(arena->blocks[i]);
-    }
-    free(arena->blocks);
-}
-
 static uint32_t
 task_count(struct cursor *c, const struct cursor *inner)
 {
@@ -255,7 +227,7 @@
     sub->flags = take_u32(c);
     struct cursor inner = take_array(c);
     uint32_t count = task_count(c, &inner);
-    struct sub_task *tasks = arena_array(arena, count, sizeof(*tasks));
+    struct sub_task *tasks = Unpk_Array(arena, count, sizeof(*tasks));
     if (!tasks || count == 0) {
         c->bad = 1;
         return;
@@ -271,17 +243,15 @@
 }
 
 static void
-get_answer(struct cursor *c, struct msg_answer *m, struct arena *arena)
+get_answer(struct cursor *c, struct answer *answer, struct arena *arena)
 {
-    struct answer *answer = &m->answer;
-    m->conn = take_u64(c);
     take_key(c, &answer->key);
     answer->code = take_code(c);
     take_str(c, answer->detail, sizeof(answer->detail));
     answer->retry_after_ms = take_u32(c);
     struct cursor inner = take_array(c);
     uint32_t count = task_count(c, &inner);
-    struct answer_task *tasks = arena_array(arena, count, sizeof(*tasks));
+    struct answer_task *tasks = Unpk_Array(arena, count, sizeof(*tasks));
     if (!tasks) {
         c->bad = 1;
         return;
@@ -296,13 +266,22 @@
     c->bad |= inner.bad;
 }
 
-static int
-get_msg(const msgpack_object *object, struct msg *msg, struct arena *arena)
+static void
+get_handover(struct cursor *c, struct msg_handover *m, struct arena *arena)
+{
+    get_answer(c, &m->answer, arena);
+    m->body_hash = take_u64(c);
+    take_epoch(c, &m->epoch);
+    m->last = (uint8_t)take_max(c, 1);
+}
+
+int
+Unpk_Msg(const msgpack_object *object, struct msg *msg, struct arena *arena)
 {
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_max(&c, MSG_STATE);
+    msg->type = (enum msg_type)take_max(&c, MSG_HANDED);
     switch (msg->type) {
     case MSG_BEAT:
         get_beat(&c, &msg->u.beat);
@@ -318,7 +297,7 @@
         break;
     case MSG_RESULT:
     case MSG_HELD:
-        get_result(&c, &msg->u.result);
+        get_result(&c, msg->type, &msg->u.result);
         break;
     case MSG_READ:
         take_key(&c, &msg->u.read.key);
@@ -338,7 +317,8 @@
         get_submit(&c, &msg->u.submit, arena);
         break;
     case MSG_ANSWER:
-        get_answer(&c, &msg->u.answer, arena);
+        msg->u.answer.conn = take_u64(&c);
+        get_answer(&c, &msg->u.answer.answer, arena);
         break;
     case MSG_ASK:
         take_key(&c, &msg->u.ask.key);
@@ -349,15 +329,27 @@
         msg->u.state.version = take_u64(&c);
         msg->u.state.rows = take_bytes(&c);
         break;
+    case MSG_TAKEN:
+        take_key(&c, &msg->u.taken.key);
+        msg->u.taken.task = take_u32(&c);
+        break;
+    case MSG_HANDOVER:
+        get_handover(&c, &msg->u.handover, arena);
+        break;
+    case MSG_HANDED:
+        take_key(&c, &msg->u.handed.key);
+        take_epoch(&c, &msg->u.handed.epoch);
+        msg->u.handed.last = (uint8_t)take_max(&c, 1);
+        break;
     default:
         return -1;
     }
     return c.bad || c.left != 0 ? -1 : 0;
 }
 
-static int
-get_head(const msgpack_object *object, struct frame_head *head,
-         struct err *err)
+int
+Unpk_Head(const msgpack_object *object, struct frame_head *head,
+          struct err *err)
 {
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
@@ -378,98 +370,3 @@
     }
     return 0;
 }
-
-/* Messages of a frame, decoded before any of them is visited. */
-struct batch {
-    struct msg *items;
-    uint32_t count;
-    uint32_t room;
-};
-
-static struct msg *
-batch_add(struct batch *batch)
-{
-    if (batch->count == batch->room) {
-        uint32_t room = batch->room ? 2 * batch->room : 16;
-        struct msg *items = realloc(batch->items, room * sizeof(*items));
-        if (!items) {
-            return NULL;
-        }
-        batch->items = items;
-        batch->room = room;
-    }
-    return &batch->items[batch->count++];
-}
-
-static int
-decode_body(const char *data, size_t size, msgpack_zone *zone,
-            struct frame_head *head, struct batch *batch, struct arena *arena,
-            struct err *err)
-{
-    size_t offset = 0;
-    int first = 1;
-    while (offset < size) {
-        msgpack_object object;
-        msgpack_unpack_return got =
-            msgpack_unpack(data, size, &offset, zone, &object);
-        if (got != MSGPACK_UNPACK_SUCCESS &&
-            got != MSGPACK_UNPACK_EXTRA_BYTES) {
-            return Err_Set(err, CODE_BAD_FRAME, "not MessagePack");
-        }
-        if (first) {
-            first = 0;
-            if (get_head(&object, head, err)) {
-                return -1;
-            }
-            continue;
-        }
-        struct msg *msg = batch_add(batch);
-        if (!msg || get_msg(&object, msg, arena)) {
-            return Err_Set(err, CODE_BAD_FRAME, "bad message %u",
-                           batch->count);
-        }
-    }
-    return first ? Err_Set(err, CODE_BAD_FRAME, "empty") : 0;
-}
-
-static int
-check_mac(const unsigned char *data, size_t size,
-          const struct key_secret *secret, struct err *err)
-{
-    unsigned char mac[KEY_MAC_SIZE];
-    if (size <= KEY_MAC_SIZE || size > FRAME_MAX_SIZE) {
-        return Err_Set(err, CODE_BAD_FRAME, "%zu bytes", size);
-    }
-    crypto_generichash(mac, sizeof(mac), data + KEY_MAC_SIZE,
-                       size - KEY_MAC_SIZE, secret->bytes, KEY_SECRET_SIZE);
-    if (sodium_memcmp(mac, data, sizeof(mac)) != 0) {
-        return Err_Set(err, CODE_BAD_MAC, "signature does not match");
-    }
-    return 0;
-}
-
-int
-Frame_Decode(const void *data, size_t size, const struct key_secret *secret,
-             frame_visit *visit, void *context, struct err *err)
-{
-    struct frame_head head;
-    struct batch batch = {0};
-    struct arena arena = {0};
-    msgpack_zone zone;
-    if (check_mac(data, size, secret, err)) {
-        return -1;
-    }
-    if (!msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE)) {
-        return Err_Set(err, CODE_NO_MEMORY, "no memory");
-    }
-    int status =
-        decode_body((const char *)data + KEY_MAC_SIZE, size - KEY_MAC_SIZE,
-                    &zone, &head, &batch, &arena, err);
-    for (uint32_t i = 0; status == 0 && i < batch.count; i++) {
-        visit(context, &head, &batch.items[i]);
-    }
-    msgpack_zone_destroy(&zone);
-    arena_finish(&arena);
-    free(batch.items);
-    return status;
-}
