Close the agent's gaps in at most once; leases and a safe stop

Cause, each a way to a second start or a false "not run": - a refusal for lack of memory, and one before the registration was known, were not remembered, so a late copy of the same start was accepted after the owner had placed the task elsewhere. Refusals now have memory of their own, and without any there is no answer; - a full table of issuers dropped the least used epoch, fence or not.

Tasks past their lease are stopped, and their slots stay taken until the upstream's call has ended. A stopping agent offers its results until their owners have them. A full table of starts forgets the oldest keys by the watermark instead of refusing new work.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -18,6 +18,14 @@
 #define AG_MAX_ENTRIES 256
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
+/** An epoch above the first is kept at least this long after its last use. */
+#define AG_EPOCH_KEEP_US (25 * 3600 * US_PER_S)
+/** An order to stop a task is given again after this. */
+#define AG_STOP_RETRY_US (1 * US_PER_S)
+/** A stopping agent offers its results again after this. */
+#define AG_OFFER_INTERVAL_US (200 * US_PER_MS)
+/** A stopping agent waits this long for owners that it does not hear. */
+#define AG_ORPHAN_WAIT_US (5 * US_PER_S)
 /** An upstream that has not announced itself for this long is gone. */
 #define AG_ANNOUNCE_TTL_US (3 * US_PER_S)
 
@@ -58,8 +66,11 @@
     uint32_t run_us;
     unsigned flags;
     uint64_t lease_end_us;
-    uint8_t stopping;
-    struct bytes output; /**< Owned. */
+    uint64_t stop_us; /**< When to order the stop again, 0 for no stop. */
+    uint8_t lapsed;   /**< Stopped because its lease ended. */
+    uint8_t taken;    /**< The owner has the outcome. */
+    struct ag_task *prev, *following; /**< In the list of running tasks. */
+    struct bytes output;              /**< Owned. */
 };
 
 /** What is remembered of a key. */
@@ -68,8 +79,10 @@
     struct ag_key_id id;
     struct key key;
     struct ag_task *tasks;
+    uint64_t body_hash; /**< Of the submission, 0 when not known. */
     uint32_t running;
     uint8_t cancelled; /**< No more of its tasks may start. */
+    uint8_t read;      /**< The caller has read the answer. */
     UT_hash_handle hh;
 };
 
@@ -113,9 +126,15 @@
     uint32_t busy;         /**< Task slots taken. */
     uint32_t calls;        /**< Connections taken by requests. */
     uint32_t foreign;      /**< Tasks running since before this process. */
+    uint32_t least;        /**< Least `busy + calls` since an announcement. */
+    struct ag_task *running;
     uint64_t output_bytes;
+    uint32_t report; /**< Number of the latest report to a taker. */
     uint64_t next_beat_us;
     uint32_t sweep_slot;
+    uint64_t drain_us;      /**< When the stop began. */
+    uint64_t next_offer_us; /**< When results are offered again. */
+    uint32_t untaken;       /**< Outcomes that no owner is known to have. */
     uint8_t draining;
 };
 
@@ -137,8 +156,8 @@
 void Ag_OnMessage(struct agent *agent, struct now now,
                   const struct frame_head *head, const struct msg *msg);
 
-/** A task that was to be run has ended. CODE_OK, CODE_TASK_FAILED,
- * CODE_LEASE_LAPSED or CODE_JOB_CANCELLED. */
+/** A task that was to be run has ended. CODE_OK, CODE_TASK_FAILED, or
+ * CODE_OUTCOME_UNKNOWN when the upstream's answer was lost. */
 void Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle task,
                   enum code code, struct bytes output, uint32_t run_us);
 
@@ -148,7 +167,8 @@
 /** Stop gracefully: take no more starts. */
 void Ag_Drain(struct agent *agent, struct now now);
 
-/** True when nothing is running any more. */
+/** True when nothing is running any more and every outcome is with the
+ * owner of its key. Of use once the agent drains. */
 int Ag_IsIdle(const struct agent *agent);
 
 #endif
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -2,6 +2,7 @@
 #include "core/agent.h"
 
 #include <string.h>
+#include <utlist.h>
 
 #include "agent_impl.h"
 
@@ -52,10 +53,16 @@
 Ag_OnAnnounce(struct agent *agent, struct now now,
               const struct ag_announce *announce)
 {
-    uint32_t ours = agent->busy;
+    /* The word was sent a moment ago, so tasks may have begun or ended since.
+     * What ran before this process can only become less. */
+    uint32_t least = announce->running;
+    least -= agent->least < least ? agent->least : least;
+    if (agent->announced_us == 0 || least < agent->foreign) {
+        agent->foreign = least;
+    }
     agent->upstream = *announce;
     agent->announced_us = now.us;
-    agent->foreign = announce->running > ours ? announce->running - ours : 0;
+    agent->least = agent->busy + agent->calls;
 }
 
 void
@@ -144,6 +151,9 @@
     case MSG_CANCEL:
         Agi_OnCancel(agent, now, &msg->u.cancel);
         break;
+    case MSG_TAKEN:
+        Agi_OnTaken(agent, &msg->u.taken);
+        break;
     case MSG_READ:
         Agi_OnRead(agent, &msg->u.read);
         break;
@@ -161,7 +171,11 @@
     else {
         agent->busy--;
     }
+    if (agent->busy + agent->calls < agent->least) {
+        agent->least = agent->busy + agent->calls;
+    }
     task->job->running--;
+    DL_DELETE2(agent->running, task, prev, following);
 }
 
 /* Report an output that is too large to be kept: it is sent this once. */
@@ -187,6 +201,12 @@
         return;
     }
     free_slot(agent, task);
+    if (code != CODE_OK && task->lapsed) {
+        code = CODE_LEASE_LAPSED;
+    }
+    else if (code != CODE_OK && task->stop_us) {
+        code = CODE_JOB_CANCELLED;
+    }
     task->code = code;
     task->run_us = run_us;
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
@@ -220,6 +240,21 @@
     }
 }
 
+static void
+check_leases(struct agent *agent, struct now now)
+{
+    struct ag_task *task;
+    DL_FOREACH2(agent->running, task, following)
+    {
+        if (now.us >= task->lease_end_us && !task->stop_us) {
+            task->lapsed = 1;
+        }
+        if (task->lapsed || task->stop_us) {
+            Agi_StopTask(agent, now, task);
+        }
+    }
+}
+
 void
 Ag_OnTick(struct agent *agent, struct now now)
 {
@@ -231,6 +266,10 @@
         agent->next_beat_us = now.us + BEAT_INTERVAL_US;
         beat_entries(agent, now);
     }
+    check_leases(agent, now);
+    if (agent->draining) {
+        Agi_OfferResults(agent, now);
+    }
     Agi_Sweep(agent, now);
 }
 
@@ -238,11 +277,14 @@
 Ag_Drain(struct agent *agent, struct now now)
 {
     agent->draining = 1;
+    agent->drain_us = now.us;
     agent->next_beat_us = now.us;
+    agent->next_offer_us = now.us + AG_OFFER_INTERVAL_US;
+    agent->untaken = agent->tasks.used;
 }
 
 int
 Ag_IsIdle(const struct agent *agent)
 {
-    return agent->busy == 0 && agent->calls == 0;
+    return agent->busy == 0 && agent->calls == 0 && agent->untaken == 0;
 }
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -28,9 +28,22 @@
 /** Highest epoch known for an issuer; {0, 0} when none. */
 struct epoch Agi_Epoch(const struct agent *agent, uint64_t issuer);
 
-/** Take over a higher epoch. Returns -1 when `epoch` is below the known. */
-int Agi_AdoptEpoch(struct agent *agent, struct now now, uint64_t issuer,
-                   struct epoch epoch);
+/** Take over a higher epoch. CODE_OLD_EPOCH when `epoch` is below the known,
+ * CODE_NO_MEMORY when no issuer may be forgotten in favour of this one. */
+enum code Agi_AdoptEpoch(struct agent *agent, struct now now, uint64_t issuer,
+                         struct epoch epoch);
+
+/** True when the table has room for a task to be started. */
+int Agi_HasRoom(struct agent *agent);
+
+/** Order a running task to be stopped. */
+void Agi_StopTask(struct agent *agent, struct now now, struct ag_task *task);
+
+/** Note that an owner has a task's outcome. */
+void Agi_OnTaken(struct agent *agent, const struct msg_taken *taken);
+
+/** Offer outcomes to their owners again while the agent is stopping. */
+void Agi_OfferResults(struct agent *agent, struct now now);
 
 /** Handle a start. */
 void Agi_OnStart(struct agent *agent, struct now now, uint64_t from,
--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -3,41 +3,67 @@
 
 #include "agent_impl.h"
 
-static uint32_t
-report_job(struct agent *agent, uint64_t to, const struct ag_job *job)
+/* A report being sent to a taker. */
+struct report {
+    uint64_t to;
+    uint32_t number;
+    uint32_t count;
+};
+
+static void
+send_held(struct agent *agent, struct report *report, const struct ag_job *job,
+          struct msg_result *held)
+{
+    struct msg msg = {.type = MSG_HELD};
+    held->key = job->key;
+    held->epoch = Agi_Epoch(agent, job->key.issuer);
+    held->body_hash = job->body_hash;
+    held->report = report->number;
+    held->index = report->count++;
+    msg.u.result = *held;
+    Act_Send(&agent->sink, report->to, &msg);
+}
+
+static void
+report_job(struct agent *agent, struct report *report,
+           const struct ag_job *job)
 {
-    uint32_t count = 0;
     for (const struct ag_task *task = job->tasks; task; task = task->next) {
-        if (task->state != TASK_REFUSED) {
-            Agi_SendTask(agent, to, MSG_HELD, task);
-            count++;
+        if (task->state == TASK_REFUSED) {
+            continue;
         }
+        struct msg_result held = {
+            .task = task->no,
+            .attempt = task->attempt,
+            .state = task->state,
+            .code = task->code,
+            .run_us = task->run_us,
+            .output = task->output,
+        };
+        send_held(agent, report, job, &held);
     }
     if (job->cancelled) {
-        struct msg msg = {.type = MSG_HELD};
-        msg.u.result.key = job->key;
-        msg.u.result.epoch = Agi_Epoch(agent, job->key.issuer);
-        msg.u.result.task = WIRE_WHOLE_KEY;
-        msg.u.result.state = TASK_REFUSED;
-        msg.u.result.code = CODE_CANCELLED;
-        Act_Send(&agent->sink, to, &msg);
-        count++;
+        struct msg_result held = {
+            .task = WIRE_WHOLE_KEY,
+            .state = TASK_REFUSED,
+            .code = CODE_CANCELLED,
+        };
+        send_held(agent, report, job, &held);
     }
-    return count;
 }
 
 static uint32_t
 report_starts(struct agent *agent, uint64_t to, uint64_t issuer)
 {
-    uint32_t count = 0;
+    struct report report = {.to = to, .number = agent->report};
     uint32_t slot = 0;
     struct ag_job *job;
     while ((job = Tab_Next(&agent->jobs, &slot))) {
         if (job->key.issuer == issuer) {
-            count += report_job(agent, to, job);
+            report_job(agent, &report, job);
         }
     }
-    return count;
+    return report.count;
 }
 
 void
@@ -46,7 +72,12 @@
 {
     struct msg msg = {.type = MSG_FENCED};
     CTR_INC(agent->counters, fences);
-    if (Agi_AdoptEpoch(agent, now, fence->issuer, fence->epoch) == 0) {
+    enum code code = Agi_AdoptEpoch(agent, now, fence->issuer, fence->epoch);
+    if (code == CODE_NO_MEMORY) {
+        return;
+    }
+    msg.u.fenced.report = ++agent->report;
+    if (code == CODE_OK) {
         msg.u.fenced.count = report_starts(agent, from, fence->issuer);
     }
     msg.u.fenced.issuer = fence->issuer;
@@ -55,13 +86,13 @@
     Act_Send(&agent->sink, from, &msg);
 }
 
-static void
-stop_task(struct agent *agent, struct ag_task *task)
+void
+Agi_StopTask(struct agent *agent, struct now now, struct ag_task *task)
 {
-    if (task->state != TASK_RUNNING || task->stopping) {
+    if (task->state != TASK_RUNNING || task->stop_us > now.us) {
         return;
     }
-    task->stopping = 1;
+    task->stop_us = now.us + AG_STOP_RETRY_US;
     struct act act = {.type = ACT_STOP};
     act.u.stop.task = Tab_Handle(&agent->tasks, task);
     Act_Emit(&agent->sink, &act);
@@ -71,7 +102,8 @@
 Agi_OnCancel(struct agent *agent, struct now now,
              const struct msg_cancel *cancel)
 {
-    if (Agi_AdoptEpoch(agent, now, cancel->key.issuer, cancel->epoch) ||
+    if (Agi_AdoptEpoch(agent, now, cancel->key.issuer, cancel->epoch) !=
+            CODE_OK ||
         cancel->key.issued_s <= agent->forgotten_s) {
         return;
     }
@@ -81,7 +113,7 @@
     }
     job->cancelled = 1;
     for (struct ag_task *task = job->tasks; task; task = task->next) {
-        stop_task(agent, task);
+        Agi_StopTask(agent, now, task);
     }
 }
 
@@ -89,6 +121,9 @@
 Agi_OnRead(struct agent *agent, const struct msg_read *read)
 {
     struct ag_job *job = Agi_FindJob(agent, &read->key);
+    if (job) {
+        job->read = 1;
+    }
     for (struct ag_task *task = job ? job->tasks : NULL; task;
          task = task->next) {
         if (task->state == TASK_FINISHED) {
--- a/core/src/agent/record.c
+++ b/core/src/agent/record.c
@@ -116,12 +116,21 @@
     return found ? found->epoch : none;
 }
 
+/* Forgetting an issuer at epoch 1 is harmless: no lower epoch exists. A
+ * higher one is a fence, which is kept until no owner can be left behind it.
+ */
+static int
+may_forget(struct now now, const struct ag_issuer *issuer)
+{
+    return issuer->epoch.n <= 1 || now.us - issuer->used_us > AG_EPOCH_KEEP_US;
+}
+
 static void
-drop_oldest_issuer(struct agent *agent)
+drop_oldest_issuer(struct agent *agent, struct now now)
 {
     struct ag_issuer *oldest = NULL;
     for (struct ag_issuer *i = agent->issuer_index; i; i = i->hh.next) {
-        if (!oldest || i->used_us < oldest->used_us) {
+        if (may_forget(now, i) && (!oldest || i->used_us < oldest->used_us)) {
             oldest = i;
         }
     }
@@ -131,27 +140,40 @@
     }
 }
 
-int
+static struct ag_issuer *
+add_issuer(struct agent *agent, struct now now, uint64_t issuer)
+{
+    struct ag_issuer *added = Tab_Add(&agent->issuers);
+    if (!added) {
+        drop_oldest_issuer(agent, now);
+        added = Tab_Add(&agent->issuers);
+    }
+    if (added) {
+        added->issuer = issuer;
+        HASH_ADD(hh, agent->issuer_index, issuer, sizeof(issuer), added);
+    }
+    return added;
+}
+
+enum code
 Agi_AdoptEpoch(struct agent *agent, struct now now, uint64_t issuer,
                struct epoch epoch)
 {
     struct ag_issuer *found;
     HASH_FIND(hh, agent->issuer_index, &issuer, sizeof(issuer), found);
     if (!found) {
-        found = Tab_Add(&agent->issuers);
-        if (!found) {
-            drop_oldest_issuer(agent);
-            found = Tab_Add(&agent->issuers);
-        }
-        found->issuer = issuer;
-        HASH_ADD(hh, agent->issuer_index, issuer, sizeof(issuer), found);
+        found = add_issuer(agent, now, issuer);
+    }
+    if (!found) {
+        CTR_INC(agent->counters, actions_dropped);
+        return CODE_NO_MEMORY;
     }
     found->used_us = now.us;
     int order = Epoch_Compare(epoch, found->epoch);
     if (order > 0) {
         found->epoch = epoch;
     }
-    return order < 0 ? -1 : 0;
+    return order < 0 ? CODE_OLD_EPOCH : CODE_OK;
 }
 
 static int
@@ -162,6 +184,55 @@
                now.wall;
 }
 
+static void
+forget_job(struct agent *agent, struct ag_job *job)
+{
+    if (job->key.issued_s > agent->forgotten_s) {
+        agent->forgotten_s = job->key.issued_s;
+    }
+    drop_job(agent, job);
+}
+
+/* Forget the oldest eighth of the time from which jobs are remembered. What
+ * is dropped is refused by the watermark from then on. */
+static void
+forget_oldest(struct agent *agent)
+{
+    uint32_t oldest = UINT32_MAX;
+    uint32_t newest = 0;
+    uint32_t slot = 0;
+    struct ag_job *job;
+    while ((job = Tab_Next(&agent->jobs, &slot))) {
+        uint32_t issued_s = job->key.issued_s;
+        newest = issued_s > newest ? issued_s : newest;
+        if (job->running == 0 && issued_s < oldest) {
+            oldest = issued_s;
+        }
+    }
+    if (oldest >= newest) {
+        return;
+    }
+    uint32_t end = oldest + (newest - oldest) / 8;
+    slot = 0;
+    while ((job = Tab_Next(&agent->jobs, &slot))) {
+        if (job->running == 0 && job->key.issued_s <= end) {
+            forget_job(agent, job);
+        }
+    }
+}
+
+int
+Agi_HasRoom(struct agent *agent)
+{
+    /* The last sixteenth is for refusals, which have to be remembered. */
+    uint32_t limit = agent->tasks.capacity - agent->tasks.capacity / 16;
+    if (agent->tasks.used <= limit) {
+        return 1;
+    }
+    forget_oldest(agent);
+    return agent->tasks.used <= limit;
+}
+
 void
 Agi_Sweep(struct agent *agent, struct now now)
 {
@@ -171,12 +242,8 @@
             agent->sweep_slot = 0;
             return;
         }
-        if (!is_expired(agent, now, job)) {
-            continue;
-        }
-        if (job->key.issued_s > agent->forgotten_s) {
-            agent->forgotten_s = job->key.issued_s;
+        if (is_expired(agent, now, job)) {
+            forget_job(agent, job);
         }
-        drop_job(agent, job);
     }
 }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -1,5 +1,7 @@
 /* What an agent does with a start: the order of the checks is the order in
  * docs/DESIGN.md, section 2.2. */
+#include <utlist.h>
+
 #include "agent_impl.h"
 
 void
@@ -47,8 +49,14 @@
 
 /* A reason to refuse that may pass, CODE_OK for none. */
 static enum code
-check_room(const struct agent *agent, const struct msg_start *start)
+check_room(struct agent *agent, const struct msg_start *start)
 {
+    if (agent->registered == 0) {
+        return CODE_NOT_ADMITTED;
+    }
+    if (!Agi_HasRoom(agent)) {
+        return CODE_NO_MEMORY;
+    }
     if (agent->draining || agent->upstream.leaving) {
         return CODE_OUT_OF_SERVICE;
     }
@@ -70,9 +78,6 @@
     if (start->key.issued_s <= agent->forgotten_s) {
         return CODE_KEY_EXPIRED;
     }
-    if (agent->registered == 0) {
-        return CODE_NOT_ADMITTED;
-    }
     if (start->key.rv < agent->registered) {
         return CODE_KEY_TOO_OLD;
     }
@@ -84,6 +89,11 @@
       const struct msg_start *start)
 {
     task->job->running++;
+    task->job->body_hash = start->body_hash;
+    DL_APPEND2(agent->running, task, prev, following);
+    task->stop_us = 0;
+    task->lapsed = 0;
+    task->taken = 0;
     task->epoch = start->epoch;
     task->attempt = start->attempt;
     task->state = TASK_RUNNING;
@@ -134,26 +144,51 @@
     refuse(agent, from, start, code);
 }
 
+/* A task that was started before; only a request marked idempotent is run
+ * again, when its owner asks for that by a new attempt. */
+static void
+meet_started(struct agent *agent, struct now now, uint64_t from,
+             const struct msg_start *start, struct ag_task *task)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    int again = (start->flags & both) == both && task->state == TASK_FAILED;
+    if (again && !is_superseded(task, start)) {
+        start_task(agent, now, from, start, task);
+        return;
+    }
+    CTR_INC(agent->counters, start_duplicate);
+    Agi_SendTask(agent, from, MSG_RESULT, task);
+}
+
 void
 Agi_OnStart(struct agent *agent, struct now now, uint64_t from,
             const struct msg_start *start)
 {
-    if (Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch)) {
-        refuse(agent, from, start, CODE_OLD_EPOCH);
+    enum code code =
+        Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch);
+    if (code == CODE_OLD_EPOCH) {
+        refuse(agent, from, start, code);
         return;
     }
-    enum code code = check_key(agent, start);
+    /* A refusal that cannot be remembered might be followed by a late copy
+     * that is accepted: without memory for it there is no answer at all. */
+    if (code != CODE_OK) {
+        return;
+    }
+    struct ag_job *job = Agi_FindJob(agent, &start->key);
+    struct ag_task *task = job ? Agi_FindTask(job, start->task) : NULL;
+    if (task && task->state >= TASK_RUNNING) {
+        meet_started(agent, now, from, start, task);
+        return;
+    }
+    code = check_key(agent, start);
     if (code != CODE_OK) {
         refuse(agent, from, start, code);
         return;
     }
-    struct ag_task *task = find_or_add(agent, start);
+    task = find_or_add(agent, start);
     if (!task) {
-        refuse(agent, from, start, CODE_NO_MEMORY);
-    }
-    else if (task->state >= TASK_RUNNING) {
-        CTR_INC(agent->counters, start_duplicate);
-        Agi_SendTask(agent, from, MSG_RESULT, task);
+        CTR_INC(agent->counters, actions_dropped);
     }
     else if (task->state == TASK_REFUSED && is_superseded(task, start)) {
         refuse(agent, from, start, CODE_OLD_ATTEMPT);
