Close the entry's gaps in at most once; hand keys on in a planned stop

Cause, each a way to a second start, a false "not run" or a lost answer: - records of a report sent twice stood for lost ones; a report is now taken in by number and place, under the epoch that asked for it; - a late answer of an old owner dropped what agents had reported of the key, so a resubmission found it unstarted; - an epoch could be taken twice by one entry after it forgot the range, and a refusal from the first time then moved a running task; - a start refused as expired was placed elsewhere although the agent may have forgotten that it ran; - a request placed again after an unknown outcome could end as "not run"; - a refusal for a full table was not final for copies sent by a forwarder; - a body resubmitted with its tasks in another order through another entry was refused as reused, and after a takeover another body was taken; - a member that did not fit the table was never fenced, and a row written again raised the version from which an agent counts as a witness; - a question lost on its way to the owner left its caller without answer.

A stopping entry hands its answered jobs and then its ranges to another, which takes them over under a new epoch and fences first: an unfenced handover loses against a taker with a lower incarnation that fenced every agent before. Per-message work no longer walks all kept jobs.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -15,6 +15,10 @@
 
 /** Issuer numbers that an entry spreads its keys over. */
 #define ENT_OWN_ISSUERS 8
+/** Questions to other entries that wait for an answer at once. */
+#define ENT_MAX_ASKS 4096
+/** Times that a request is placed again after an unknown outcome. */
+#define ENT_MAX_UNKNOWN 3
 /** Most keys issued in one call. */
 #define ENT_MAX_KEYS 1000
 
@@ -70,6 +74,7 @@
     uint32_t calls;       /**< This entry's requests there. */
     uint32_t others;      /**< Slots taken by others, as last reported. */
     UT_hash_handle hh;
+    UT_hash_handle node_hh; /**< By the node's name. */
 };
 
 /** What an entry knows of a task of its job. */
@@ -153,9 +158,16 @@
     uint32_t retry_after_ms;
     struct ent_waiter *waiters;
     struct ent_held *held;
-    uint8_t cancelled; /**< An agent knows that the key was cancelled. */
-    uint64_t target;   /**< Entry that it was passed to. */
+    uint64_t held_hash; /**< Body hash that agents reported, 0 for none. */
+    uint8_t cancelled;  /**< An agent knows that the key was cancelled. */
+    uint8_t maybe_ran;  /**< A waiting task may have been run before. */
+    uint8_t rerouted;   /**< More than one entry may act on it. */
+    uint8_t handed;     /**< The successor has its answer. */
+    uint8_t unknowns;   /**< Times placed again after an unknown outcome. */
+    uint64_t target;    /**< Entry that it was passed to. */
     uint64_t resend_us;
+    uint64_t due_us;     /**< No start has to be sent again before this. */
+    uint32_t open_index; /**< Place in the entry's list of open jobs. */
     struct ent_service *service;
     struct ent_job *prev, *next; /**< In the service's queue. */
     UT_hash_handle hh;
@@ -171,9 +183,12 @@
 /** An agent that a takeover has to hear. */
 struct ent_fence {
     struct ent_fence *next;
-    uint64_t agent; /**< Incarnation. */
-    uint32_t expected;
-    uint32_t received;
+    uint64_t agent;      /**< Incarnation. */
+    uint32_t report;     /**< Number of the report being taken in. */
+    uint32_t expected;   /**< Records in the report. */
+    uint32_t received;   /**< Different records of it that came. */
+    unsigned char *seen; /**< Bit for each record that came, owned. */
+    uint32_t seen_size;  /**< Bytes of `seen`. */
     uint32_t forgotten_s;
     uint8_t answered;
     uint64_t resend_us;
@@ -191,6 +206,17 @@
     UT_hash_handle hh;
 };
 
+/** A caller's question that another entry is to answer. */
+struct ent_ask {
+    struct tab_row row;
+    struct key key;
+    enum ask what;
+    conn_id conn;
+    uint64_t resend_us;
+    uint64_t end_us; /**< Given up then. */
+    UT_hash_handle hh;
+};
+
 /** The entry. */
 struct entry {
     struct ent_settings settings;
@@ -203,6 +229,7 @@
     uint64_t random_count;
     struct tab peers;
     struct ent_peer *peer_index;
+    struct ent_peer *node_index;
     struct tab services;
     struct ent_service *service_index;
     struct tab issuers;
@@ -212,7 +239,15 @@
     uint32_t next_seq;
     struct tab jobs;
     struct ent_job *job_index;
-    uint32_t open_jobs; /**< Jobs not yet answered. */
+    uint32_t open_jobs;    /**< Jobs not yet answered. */
+    struct ent_job **open; /**< These jobs, in no order. */
+    struct tab asks;
+    struct ent_ask *ask_index;
+    uint64_t epoch_n;     /**< Highest epoch that this entry has taken. */
+    uint64_t next_age_us; /**< When unused issuers are looked for. */
+    uint64_t successor;   /**< Entry that the ranges are handed to. */
+    uint64_t next_hand_us;
+    uint8_t alone; /**< No other entry could take the ranges. */
     uint64_t next_beat_us;
     uint64_t next_scan_us;
     uint32_t sweep_slot;
@@ -266,7 +301,8 @@
 /** Stop gracefully: issue no keys, finish the jobs. */
 void Ent_Drain(struct entry *entry, struct now now);
 
-/** True when no job waits for its answer. */
+/** True when no job waits for its answer and, in a graceful stop, the keys
+ * have been handed to another entry or there is none. */
 int Ent_IsIdle(const struct entry *entry);
 
 #endif
--- a/core/src/entry/ask.c
+++ b/core/src/entry/ask.c
@@ -4,8 +4,7 @@
 static void
 cancel_job(struct entry *entry, struct ent_job *job)
 {
-    int started =
-        job->waiting < job->task_count || job->state == ENT_JOB_COLLECTING;
+    int started = job->waiting < job->task_count || job->maybe_ran;
     Enti_SendCancel(entry, job);
     Enti_Answer(entry, job, started ? CODE_JOB_CANCELLED : CODE_CANCELLED,
                 NULL);
@@ -32,6 +31,10 @@
     if (what == ASK_CANCEL && job->state == ENT_JOB_OPEN) {
         cancel_job(entry, job);
     }
+    else if (what == ASK_CANCEL && job->state == ENT_JOB_COLLECTING) {
+        /* What runs is stopped once the agents have told of it. */
+        job->cancelled = 1;
+    }
     if (what == ASK_WAIT && job->state != ENT_JOB_ANSWERED) {
         Enti_AddWaiter(job, from, conn);
         return;
@@ -39,17 +42,89 @@
     Enti_Reply(entry, job, from, conn);
 }
 
+static struct ent_ask *
+find_ask(const struct entry *entry, conn_id conn)
+{
+    struct ent_ask *found;
+    HASH_FIND(hh, entry->ask_index, &conn, sizeof(conn), found);
+    return found;
+}
+
 static void
-ask_owner(struct entry *entry, uint64_t owner, conn_id conn,
-          const struct key *key, enum ask what)
+drop_ask(struct entry *entry, struct ent_ask *ask)
+{
+    HASH_DELETE(hh, entry->ask_index, ask);
+    Tab_Remove(&entry->asks, ask);
+}
+
+static void
+send_ask(struct entry *entry, struct now now, struct ent_ask *ask)
 {
+    uint64_t owner = Enti_OwnerOf(entry, now, ask->key.issuer);
+    ask->resend_us = now.us + ASK_RESEND_US;
+    if (owner == 0 || owner == entry->settings.incarnation) {
+        return;
+    }
     struct msg msg = {.type = MSG_ASK};
-    msg.u.ask.key = *key;
-    msg.u.ask.what = what;
-    msg.u.ask.conn = conn;
+    msg.u.ask.key = ask->key;
+    msg.u.ask.what = ask->what;
+    msg.u.ask.conn = ask->conn;
     Act_Send(&entry->sink, owner, &msg);
 }
 
+/* Ask the owner, again and again until it answers. */
+static void
+ask_owner(struct entry *entry, struct now now, conn_id conn,
+          const struct key *key, enum ask what)
+{
+    struct ent_ask *ask = find_ask(entry, conn);
+    if (!ask) {
+        ask = Tab_Add(&entry->asks);
+        if (!ask) {
+            Enti_Refuse(entry, 0, conn, key, CODE_TRY_AGAIN, NULL);
+            return;
+        }
+        ask->conn = conn;
+        HASH_ADD(hh, entry->ask_index, conn, sizeof(conn), ask);
+    }
+    ask->key = *key;
+    ask->what = what;
+    ask->end_us = now.us + (what == ASK_WAIT ? WAIT_LIMIT_US : ASK_LIMIT_US);
+    send_ask(entry, now, ask);
+}
+
+void
+Enti_OnAskAnswer(struct entry *entry, const struct msg_answer *answer)
+{
+    struct ent_ask *ask = find_ask(entry, answer->conn);
+    if (!ask || !Key_Equal(&ask->key, &answer->answer.key)) {
+        CTR_INC(entry->counters, answers_late);
+        return;
+    }
+    struct act act = {.type = ACT_REPLY};
+    act.u.reply.conn = ask->conn;
+    act.u.reply.answer = &answer->answer;
+    drop_ask(entry, ask);
+    Act_Emit(&entry->sink, &act);
+}
+
+void
+Enti_ResendAsks(struct entry *entry, struct now now)
+{
+    struct ent_ask *ask;
+    struct ent_ask *following;
+    HASH_ITER(hh, entry->ask_index, ask, following)
+    {
+        if (ask->end_us <= now.us) {
+            Enti_Refuse(entry, 0, ask->conn, &ask->key, CODE_OWNER_AWAY, NULL);
+            drop_ask(entry, ask);
+        }
+        else if (ask->resend_us <= now.us) {
+            send_ask(entry, now, ask);
+        }
+    }
+}
+
 void
 Enti_Ask(struct entry *entry, struct now now, uint64_t from, conn_id conn,
          const struct key *key, enum ask what)
@@ -74,7 +149,7 @@
         Enti_Refuse(entry, from, conn, key, CODE_OWNER_AWAY, NULL);
         return;
     }
-    ask_owner(entry, owner, conn, key, what);
+    ask_owner(entry, now, conn, key, what);
 }
 
 void
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -1,6 +1,7 @@
 /* Set-up, messages and the passing of time. */
 #include "core/entry.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "entry_impl.h"
@@ -23,7 +24,10 @@
     entry->counters = counters;
     entry->started_us = now.us;
     Pol_Init(&entry->policy);
-    if (Tab_Init(&entry->peers, sizeof(struct ent_peer),
+    entry->open = calloc(settings->job_capacity, sizeof(*entry->open));
+    if (!entry->open ||
+        Tab_Init(&entry->asks, sizeof(struct ent_ask), ENT_MAX_ASKS) ||
+        Tab_Init(&entry->peers, sizeof(struct ent_peer),
                  settings->peer_capacity) ||
         Tab_Init(&entry->services, sizeof(struct ent_service), MAX_SERVICES) ||
         Tab_Init(&entry->issuers, sizeof(struct ent_issuer), MAX_ISSUERS) ||
@@ -49,7 +53,12 @@
     }
     HASH_CLEAR(hh, entry->issuer_index);
     HASH_CLEAR(hh, entry->peer_index);
+    HASH_CLEAR(node_hh, entry->node_index);
     HASH_CLEAR(hh, entry->service_index);
+    HASH_CLEAR(hh, entry->ask_index);
+    Tab_Finish(&entry->asks);
+    free(entry->open);
+    entry->open = NULL;
     Tab_Finish(&entry->peers);
     Tab_Finish(&entry->services);
     Tab_Finish(&entry->issuers);
@@ -111,7 +120,7 @@
         Enti_OnResult(entry, now, peer, &msg->u.result);
         break;
     case MSG_HELD:
-        Enti_OnHeld(entry, now, peer, &msg->u.result);
+        Enti_OnHeld(entry, peer, &msg->u.result);
         break;
     case MSG_FENCED:
         Enti_OnFenced(entry, now, peer, &msg->u.fenced);
@@ -121,21 +130,18 @@
                     &msg->u.submit.sub);
         break;
     case MSG_ANSWER:
-        if (msg->u.answer.conn >> 63) {
-            /* Answer to a question: the connection is a caller's. */
-            struct act act = {.type = ACT_REPLY};
-            act.u.reply.conn = msg->u.answer.conn;
-            act.u.reply.answer = &msg->u.answer.answer;
-            Act_Emit(&entry->sink, &act);
-        }
-        else {
-            Enti_OnAnswer(entry, now, &msg->u.answer);
-        }
+        Enti_OnAnswer(entry, head->from, &msg->u.answer);
         break;
     case MSG_ASK:
         Enti_Ask(entry, now, head->from, msg->u.ask.conn, &msg->u.ask.key,
                  msg->u.ask.what);
         break;
+    case MSG_HANDOVER:
+        Enti_OnHandover(entry, now, head->from, &msg->u.handover);
+        break;
+    case MSG_HANDED:
+        Enti_OnHanded(entry, now, &msg->u.handed);
+        break;
     case MSG_READ:
         on_read(entry, &msg->u.read.key);
         break;
@@ -148,40 +154,47 @@
 late_code(const struct ent_job *job)
 {
     switch (job->state) {
-    case ENT_JOB_REMOTE:
-        return CODE_OWNER_AWAY;
     case ENT_JOB_COLLECTING:
         return CODE_OUTCOME_UNKNOWN;
     default:
-        return job->waiting == job->task_count ? CODE_DEADLINE_PASSED
-                                               : CODE_JOB_DEADLINE;
+        if (job->waiting == job->task_count && !job->maybe_ran) {
+            return CODE_DEADLINE_PASSED;
+        }
+        return CODE_JOB_DEADLINE;
     }
 }
 
 static void
 end_late_job(struct entry *entry, struct ent_job *job)
 {
-    int remote = job->state == ENT_JOB_REMOTE;
-    enum code code = late_code(job);
-    if (!remote) {
-        Enti_SendCancel(entry, job);
+    if (job->state == ENT_JOB_REMOTE) {
+        Enti_EndRemote(entry, job, CODE_OWNER_AWAY, NULL);
+        return;
     }
+    enum code code = late_code(job);
+    Enti_SendCancel(entry, job);
     Enti_Answer(entry, job, code, NULL);
-    if (remote) {
-        Enti_DropJob(entry, job);
-    }
 }
 
 static void
 resend_starts(struct entry *entry, struct now now, struct ent_job *job)
 {
+    uint64_t due_us = UINT64_MAX;
+    if (now.us < job->due_us) {
+        return;
+    }
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
-        if (task->state == ENT_SENT && task->resend_us <= now.us) {
+        if (task->state != ENT_SENT) {
+            continue;
+        }
+        if (task->resend_us <= now.us) {
             CTR_INC(entry->counters, start_resent);
             Enti_SendStart(entry, now, job, task);
         }
+        due_us = task->resend_us < due_us ? task->resend_us : due_us;
     }
+    job->due_us = due_us;
 }
 
 static void
@@ -208,13 +221,12 @@
 static void
 scan_jobs(struct entry *entry, struct now now)
 {
-    uint32_t slot = 0;
-    struct ent_job *job;
-    if (entry->open_jobs == 0) {
-        return;
-    }
-    while ((job = Tab_Next(&entry->jobs, &slot))) {
-        scan_job(entry, now, job);
+    /* A job that is answered leaves its place to the last of the list, which
+     * has been looked at already. */
+    for (uint32_t i = entry->open_jobs; i-- > 0;) {
+        if (i < entry->open_jobs) {
+            scan_job(entry, now, entry->open[i]);
+        }
     }
 }
 
@@ -251,6 +263,14 @@
         entry->next_scan_us = now.us + SCAN_INTERVAL_US;
         scan_jobs(entry, now);
         Enti_ResendFences(entry, now);
+        Enti_ResendAsks(entry, now);
+    }
+    if (now.us >= entry->next_age_us) {
+        entry->next_age_us = now.us + AGE_INTERVAL_US;
+        Enti_AgeIssuers(entry, now);
+    }
+    if (entry->draining && entry->open_jobs == 0) {
+        Enti_HandOver(entry, now);
     }
     sweep(entry, now);
 }
@@ -265,5 +285,8 @@
 int
 Ent_IsIdle(const struct entry *entry)
 {
-    return entry->open_jobs == 0;
+    if (entry->open_jobs > 0) {
+        return 0;
+    }
+    return !entry->draining || Enti_IsHandedOver(entry);
 }
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -18,6 +18,17 @@
 /** A new entry waits this long to hear who owns which keys. */
 #define SETTLE_US (2 * US_PER_S)
 
+/** A question passed on is sent again after this. */
+#define ASK_RESEND_US (1 * US_PER_S)
+/** A question about a state is given up after this. */
+#define ASK_LIMIT_US (5 * US_PER_S)
+/** A wait for an answer is given up after this. */
+#define WAIT_LIMIT_US (600 * US_PER_S)
+/** Unused issuers are looked for this often. */
+#define AGE_INTERVAL_US (30 * US_PER_S)
+/** A handover without an answer is sent again after this. */
+#define HAND_RESEND_US (500 * US_PER_MS)
+
 /* policy.c */
 
 /** Values in force for a service and a team; either may be "". */
@@ -81,6 +92,9 @@
 void Enti_StepDown(struct entry *entry, struct now now,
                    struct ent_issuer *issuer, struct epoch epoch);
 
+/** Forget ranges whose keys have all expired. */
+void Enti_AgeIssuers(struct entry *entry, struct now now);
+
 /** True when this entry owns the range. */
 int Enti_IsOwner(const struct ent_issuer *issuer);
 
@@ -99,7 +113,12 @@
 int Enti_FillJob(struct ent_job *job, struct now now,
                  const struct submission *sub);
 
-/** Hash of what a submission asks for. */
+/** Answer all who wait for a job that is not owned here, then forget the
+ * submission. What agents reported of the key is kept. */
+void Enti_EndRemote(struct entry *entry, struct ent_job *job, enum code code,
+                    const char *detail);
+
+/** Hash of what a submission asks for, whatever the order of its tasks. */
 uint64_t Enti_HashBody(const struct submission *sub);
 
 /** Add somebody who waits for the answer. */
@@ -177,8 +196,14 @@
  * agents have reported, or answer it when the outcome cannot be known. */
 void Enti_Collect(struct entry *entry, struct now now, struct ent_job *job);
 
+/** Go on with all jobs of a range that is being taken over. */
+void Enti_CollectRange(struct entry *entry, struct now now,
+                       const struct ent_issuer *issuer);
+
+/* report.c */
+
 /** Take in what an agent remembers of a task. */
-void Enti_OnHeld(struct entry *entry, struct now now, struct ent_peer *agent,
+void Enti_OnHeld(struct entry *entry, struct ent_peer *agent,
                  const struct msg_result *held);
 
 /** Take in the end of an agent's report. */
@@ -191,6 +216,9 @@
 /** Send fences again that were not answered. */
 void Enti_ResendFences(struct entry *entry, struct now now);
 
+/** True when the agent's whole report on the range has come. */
+int Enti_HasReported(const struct ent_issuer *issuer, uint64_t agent);
+
 /** Forget a takeover's fences. */
 void Enti_DropFences(struct ent_issuer *issuer);
 
@@ -199,15 +227,37 @@
 /** Pass a job to the entry that owns it, or take its range over. */
 void Enti_Route(struct entry *entry, struct now now, struct ent_job *job);
 
-/** Take in the owner's answer. */
-void Enti_OnAnswer(struct entry *entry, struct now now,
+/** Take in an answer from another entry. */
+void Enti_OnAnswer(struct entry *entry, uint64_t from,
                    const struct msg_answer *answer);
 
 /** Entry that owns a range or is to take it over; 0 when not yet known. */
 uint64_t Enti_OwnerOf(struct entry *entry, struct now now, uint64_t issuer);
 
+/* handover.c */
+
+/** Hand the ranges on, once the jobs are answered. */
+void Enti_HandOver(struct entry *entry, struct now now);
+
+/** Take in an answered job, or the end of a range, from a stopping owner. */
+void Enti_OnHandover(struct entry *entry, struct now now, uint64_t from,
+                     const struct msg_handover *handover);
+
+/** Take in the successor's word. */
+void Enti_OnHanded(struct entry *entry, struct now now,
+                   const struct msg_handed *handed);
+
+/** True when there is nothing left to hand on, or nobody to take it. */
+int Enti_IsHandedOver(const struct entry *entry);
+
 /* ask.c */
 
+/** Take in the answer to a question. */
+void Enti_OnAskAnswer(struct entry *entry, const struct msg_answer *answer);
+
+/** Send questions again, and give up old ones. */
+void Enti_ResendAsks(struct entry *entry, struct now now);
+
 /** Answer a question about a job, or pass it on. */
 void Enti_Ask(struct entry *entry, struct now now, uint64_t from, conn_id conn,
               const struct key *key, enum ask what);
--- a/core/src/entry/issuer.c
+++ b/core/src/entry/issuer.c
@@ -70,6 +70,7 @@
 Enti_DrawIssuer(struct entry *entry, struct now now, uint32_t index)
 {
     struct ent_issuer *issuer = Enti_AddIssuer(entry, Enti_Random(entry));
+    entry->own[index] = issuer;
     if (!issuer) {
         return;
     }
@@ -77,7 +78,6 @@
     issuer->epoch.n = 1;
     issuer->epoch.owner = entry->settings.incarnation;
     issuer->used_us = now.us;
-    entry->own[index] = issuer;
 }
 
 int
@@ -86,6 +86,19 @@
     return issuer->state != ENT_ISSUER_PEER;
 }
 
+/* One of the own ranges, in turn; NULL when there is none. */
+static const struct ent_issuer *
+next_issuer(struct entry *entry)
+{
+    for (int i = 0; i < ENT_OWN_ISSUERS; i++) {
+        entry->next_own = (entry->next_own + 1) % ENT_OWN_ISSUERS;
+        if (entry->own[entry->next_own]) {
+            return entry->own[entry->next_own];
+        }
+    }
+    return NULL;
+}
+
 enum code
 Ent_IssueKeys(struct entry *entry, struct now now, uint32_t count,
               struct key *keys)
@@ -97,8 +110,11 @@
         return CODE_DRAINING;
     }
     for (uint32_t i = 0; i < count; i++) {
-        entry->next_own = (entry->next_own + 1) % ENT_OWN_ISSUERS;
-        keys[i].issuer = entry->own[entry->next_own]->issuer;
+        const struct ent_issuer *issuer = next_issuer(entry);
+        if (!issuer) {
+            return CODE_NO_MEMORY;
+        }
+        keys[i].issuer = issuer->issuer;
         keys[i].rv = entry->version;
         keys[i].seq = ++entry->next_seq;
         keys[i].issued_s = now.wall;
@@ -132,6 +148,7 @@
             }
             Enti_SetState(entry, job, ENT_JOB_REMOTE);
             job->target = 0;
+            job->rerouted = 1;
             job->resend_us = now.us;
             break;
         case ENT_JOB_ANSWERED:
@@ -146,6 +163,7 @@
               struct epoch epoch)
 {
     int owned = Enti_IsOwner(issuer);
+    uint64_t number = issuer->issuer;
     issuer->epoch = epoch;
     issuer->state = ENT_ISSUER_PEER;
     issuer->used_us = now.us;
@@ -155,11 +173,44 @@
     CTR_INC(entry->counters, steps_down);
     Enti_DropFences(issuer);
     for (uint32_t i = 0; i < ENT_OWN_ISSUERS; i++) {
-        if (entry->own[i] == issuer) {
+        if (entry->own[i] != issuer) {
+            continue;
+        }
+        entry->own[i] = NULL;
+        if (!entry->draining) {
             Enti_DrawIssuer(entry, now, i);
         }
     }
-    pass_jobs(entry, now, issuer->issuer);
+    pass_jobs(entry, now, number);
+}
+
+static void
+touch_issuers(struct entry *entry, struct now now)
+{
+    for (uint32_t i = 0; i < entry->open_jobs; i++) {
+        uint64_t number = entry->open[i]->key.issuer;
+        struct ent_issuer *issuer = Enti_FindIssuer(entry, number);
+        if (issuer) {
+            issuer->used_us = now.us;
+        }
+    }
+}
+
+void
+Enti_AgeIssuers(struct entry *entry, struct now now)
+{
+    uint64_t limit_us =
+        entry->settings.key_lifetime_s * US_PER_S + AGE_INTERVAL_US;
+    struct ent_issuer *issuer;
+    struct ent_issuer *following;
+    touch_issuers(entry, now);
+    HASH_ITER(hh, entry->issuer_index, issuer, following)
+    {
+        if (issuer->state != ENT_ISSUER_OWN &&
+            now.us - issuer->used_us > limit_us) {
+            drop_issuer(entry, issuer);
+        }
+    }
 }
 
 void
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -46,12 +46,32 @@
     return state != ENT_JOB_HELD && state != ENT_JOB_ANSWERED;
 }
 
+static void
+add_open(struct entry *entry, struct ent_job *job)
+{
+    job->open_index = entry->open_jobs;
+    entry->open[entry->open_jobs++] = job;
+}
+
+static void
+remove_open(struct entry *entry, struct ent_job *job)
+{
+    struct ent_job *last = entry->open[--entry->open_jobs];
+    entry->open[job->open_index] = last;
+    last->open_index = job->open_index;
+}
+
 void
 Enti_SetState(struct entry *entry, struct ent_job *job,
               enum ent_job_state state)
 {
-    entry->open_jobs -= (uint32_t)is_unanswered(job->state);
-    entry->open_jobs += (uint32_t)is_unanswered(state);
+    int was_open = is_unanswered(job->state);
+    if (was_open && !is_unanswered(state)) {
+        remove_open(entry, job);
+    }
+    if (!was_open && is_unanswered(state)) {
+        add_open(entry, job);
+    }
     job->state = state;
 }
 
@@ -110,26 +130,26 @@
     Tab_Remove(&entry->jobs, job);
 }
 
+static uint64_t
+hash_bytes(uint64_t seed, const void *data, size_t size)
+{
+    unsigned char key[crypto_shorthash_KEYBYTES] = {0};
+    uint64_t hash;
+    memcpy(key, &seed, sizeof(seed));
+    crypto_shorthash((unsigned char *)&hash, data ? data : "", size, key);
+    return hash;
+}
+
 uint64_t
 Enti_HashBody(const struct submission *sub)
 {
-    crypto_generichash_state state;
-    uint64_t hash;
-    crypto_generichash_init(&state, NULL, 0, crypto_generichash_BYTES_MIN);
-    crypto_generichash_update(&state, (const unsigned char *)sub->service,
-                              strlen(sub->service) + 1);
-    crypto_generichash_update(&state, (const unsigned char *)sub->kind,
-                              strlen(sub->kind) + 1);
+    uint64_t hash = hash_bytes(1, sub->service, strlen(sub->service));
+    hash = hash_bytes(hash, sub->kind, strlen(sub->kind));
     for (uint32_t i = 0; i < sub->task_count; i++) {
         const struct sub_task *task = &sub->tasks[i];
-        crypto_generichash_update(&state, (const unsigned char *)&task->no,
-                                  sizeof(task->no));
-        crypto_generichash_update(&state, task->input.data, task->input.size);
+        hash += hash_bytes(task->no, task->input.data, task->input.size);
     }
-    unsigned char digest[crypto_generichash_BYTES_MIN];
-    crypto_generichash_final(&state, digest, sizeof(digest));
-    memcpy(&hash, digest, sizeof(hash));
-    return hash;
+    return hash ? hash : 1;
 }
 
 static int
@@ -281,6 +301,23 @@
     send_answer(entry, from, conn, &answer);
 }
 
+static void
+set_answer(struct entry *entry, struct ent_job *job, enum code code,
+           const char *detail)
+{
+    Enti_SetState(entry, job, ENT_JOB_ANSWERED);
+    job->code = code;
+    memset(job->detail, 0, sizeof(job->detail));
+    if (detail) {
+        strncpy(job->detail, detail, sizeof(job->detail) - 1);
+    }
+    drop_body(job);
+    for (struct ent_waiter *w = job->waiters; w; w = w->next) {
+        Enti_Reply(entry, job, w->entry, w->conn);
+    }
+    drop_waiters(job);
+}
+
 void
 Enti_Answer(struct entry *entry, struct ent_job *job, enum code code,
             const char *detail)
@@ -298,18 +335,25 @@
             Enti_Release(entry, job, &job->tasks[i]);
         }
     }
-    Enti_SetState(entry, job, ENT_JOB_ANSWERED);
-    job->code = code;
-    memset(job->detail, 0, sizeof(job->detail));
-    if (detail) {
-        strncpy(job->detail, detail, sizeof(job->detail) - 1);
-    }
-    drop_body(job);
+    set_answer(entry, job, code, detail);
     drop_held(job);
-    for (struct ent_waiter *w = job->waiters; w; w = w->next) {
-        Enti_Reply(entry, job, w->entry, w->conn);
+}
+
+void
+Enti_EndRemote(struct entry *entry, struct ent_job *job, enum code code,
+               const char *detail)
+{
+    Ctr_Code(entry->counters, code);
+    set_answer(entry, job, code, detail);
+    if (!job->held && !job->cancelled) {
+        Enti_DropJob(entry, job);
+        return;
     }
-    drop_waiters(job);
+    /* A takeover of its range found these; a later submission needs them. */
+    drop_tasks(job);
+    job->body_hash = 0;
+    job->rerouted = 0;
+    Enti_SetState(entry, job, ENT_JOB_HELD);
 }
 
 void
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -48,20 +48,16 @@
     Act_Emit(&entry->sink, &act);
     leave_service(peer);
     HASH_DELETE(hh, entry->peer_index, peer);
+    HASH_DELETE(node_hh, entry->node_index, peer);
     Tab_Remove(&entry->peers, peer);
 }
 
 static struct ent_peer *
 find_node(const struct entry *entry, const char *node)
 {
-    uint32_t slot = 0;
     struct ent_peer *peer;
-    while ((peer = Tab_Next(&entry->peers, &slot))) {
-        if (strcmp(peer->member.node, node) == 0) {
-            return peer;
-        }
-    }
-    return NULL;
+    HASH_FIND(node_hh, entry->node_index, node, strlen(node), peer);
+    return peer;
 }
 
 static void
@@ -74,19 +70,29 @@
     drop_peer(entry, now, peer);
 }
 
+/* The agent has been able to run tasks since its first registration, however
+ * often its row is written again. */
+static void
+note_registered(struct ent_peer *peer, uint64_t version)
+{
+    if (version != 0 && version < peer->member.registered) {
+        peer->member.registered = version;
+    }
+}
+
 void
 Ent_OnMember(struct entry *entry, struct now now,
              const struct ent_member *member)
 {
     struct ent_peer *peer = find_node(entry, member->node);
     if (peer && peer->member.incarnation == member->incarnation) {
-        peer->member.registered = member->registered;
+        note_registered(peer, member->registered);
         return;
     }
     if (peer) {
         lose_member(entry, now, peer, member->registered);
     }
-    else if (member->replaced && member->role == ROLE_AGENT) {
+    else if (member->replaced) {
         Enti_NoteLoss(entry, 0, member->registered);
     }
     if (member->incarnation == entry->settings.incarnation) {
@@ -94,9 +100,13 @@
     }
     peer = Tab_Add(&entry->peers);
     if (!peer) {
+        /* It cannot be fenced, so nothing taken over can be certain. */
+        Enti_NoteLoss(entry, 0, UINT64_MAX);
         return;
     }
     peer->member = *member;
+    HASH_ADD(node_hh, entry->node_index, member.node,
+             (unsigned)strlen(peer->member.node), peer);
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
     link_peer(entry, now, peer);
@@ -183,6 +193,7 @@
             DL_APPEND(service->agents, peer);
         }
     }
+    note_registered(peer, status->registered);
     peer->slots = status->slots;
     peer->connections = status->connections;
     peer->memory_mb = status->memory_mb;
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -86,9 +86,13 @@
     start->flags = job->flags;
     memcpy(start->kind, job->kind, sizeof(start->kind));
     memcpy(start->team, job->team, sizeof(start->team));
+    start->body_hash = job->body_hash;
     start->input = task->input;
     task->sent_us = now.us;
     task->resend_us = now.us + START_RESEND_US;
+    if (task->resend_us < job->due_us) {
+        job->due_us = task->resend_us;
+    }
     CTR_INC(entry->counters, tasks_sent);
     Act_Send(&entry->sink, task->agent, &msg);
 }
--- a/core/src/entry/remote.c
+++ b/core/src/entry/remote.c
@@ -21,7 +21,7 @@
 pick_taker(const struct entry *entry, struct now now, uint64_t issuer)
 {
     uint64_t best = entry->settings.incarnation;
-    uint64_t best_score = rendezvous_score(issuer, best);
+    uint64_t best_score = entry->draining ? 0 : rendezvous_score(issuer, best);
     uint32_t slot = 0;
     struct ent_peer *peer;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
@@ -112,8 +112,12 @@
 void
 Enti_Route(struct entry *entry, struct now now, struct ent_job *job)
 {
+    uint64_t before = job->target;
     job->resend_us = now.us + SUBMIT_RESEND_US;
     job->target = Enti_OwnerOf(entry, now, job->key.issuer);
+    if (before != 0 && job->target != before) {
+        job->rerouted = 1;
+    }
     if (job->target == 0) {
         job->resend_us = now.us + BEAT_INTERVAL_US;
     }
@@ -147,13 +151,26 @@
     return 0;
 }
 
+/* What the answer means for the caller of this entry. */
+static enum code
+answer_code(const struct ent_job *job, const struct answer *answer)
+{
+    /* Another entry may have this submission too, and run it later. */
+    if (Code_Run(answer->code) == CODE_NOT_RUN && job->rerouted) {
+        return CODE_TRY_AGAIN;
+    }
+    return answer->code;
+}
+
 void
-Enti_OnAnswer(struct entry *entry, struct now now,
-              const struct msg_answer *msg)
+Enti_OnAnswer(struct entry *entry, uint64_t from, const struct msg_answer *msg)
 {
     const struct answer *answer = &msg->answer;
+    if (msg->conn >> 63) {
+        Enti_OnAskAnswer(entry, msg);
+        return;
+    }
     struct ent_job *job = Enti_FindJob(entry, &answer->key);
-    (void)now;
     if (!job || job->state != ENT_JOB_REMOTE ||
         msg->conn != Tab_Handle(&entry->jobs, job)) {
         if (!job || job->state != ENT_JOB_ANSWERED) {
@@ -161,7 +178,12 @@
         }
         return;
     }
-    if (answer->code == CODE_OWNER_AWAY || answer->code == CODE_TRY_AGAIN) {
+    if (answer->code == CODE_OWNER_AWAY || answer->code == CODE_TRY_AGAIN ||
+        answer->code == CODE_PENDING) {
+        return;
+    }
+    if (Code_Run(answer->code) == CODE_NOT_RUN && from != job->target) {
+        CTR_INC(entry->counters, answers_late);
         return;
     }
     if (answer->code == CODE_OK &&
@@ -169,6 +191,5 @@
         return;
     }
     job->retry_after_ms = answer->retry_after_ms;
-    Enti_Answer(entry, job, answer->code, answer->detail);
-    Enti_DropJob(entry, job);
+    Enti_EndRemote(entry, job, answer_code(job, answer), answer->detail);
 }
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -99,15 +99,42 @@
     }
 }
 
+/* The task may have been run by an agent that cannot tell. */
+static void
+on_unknown(struct entry *entry, struct ent_job *job, struct ent_task *task,
+           enum code code)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    if ((job->flags & both) != both || job->unknowns >= ENT_MAX_UNKNOWN) {
+        fail_job(entry, job, task, code);
+        return;
+    }
+    job->unknowns++;
+    job->maybe_ran = 1;
+    Enti_Requeue(entry, job, task);
+}
+
 static void
 on_refused(struct entry *entry, struct ent_job *job, struct ent_task *task,
            struct ent_peer *agent, const struct msg_result *result)
 {
-    if (result->attempt != task->attempt) {
+    const struct ent_issuer *issuer = Enti_FindIssuer(entry, job->key.issuer);
+    /* Attempts are counted from new under each epoch. */
+    if (result->attempt != task->attempt ||
+        Epoch_Compare(result->epoch, issuer->epoch) != 0) {
         CTR_INC(entry->counters, result_stale);
         return;
     }
     Ctr_Code(entry->counters, result->code);
+    if (result->code == CODE_CANCELLED) {
+        fail_job(entry, job, task, CODE_JOB_CANCELLED);
+        return;
+    }
+    if (Code_Run(result->code) != CODE_NOT_RUN) {
+        /* The agent has forgotten the key: it may have run the task. */
+        on_unknown(entry, job, task, result->code);
+        return;
+    }
     Enti_Requeue(entry, job, task);
     if (result->code == CODE_NO_SLOT) {
         agent->others = result->busy > agent->outstanding
@@ -135,7 +162,12 @@
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
-        fail_job(entry, job, task, result->code);
+        if (Code_Run(result->code) == CODE_UNKNOWN) {
+            on_unknown(entry, job, task, result->code);
+        }
+        else {
+            fail_job(entry, job, task, result->code);
+        }
         break;
     case TASK_GONE:
         fail_job(entry, job, task, CODE_ANSWER_GONE);
@@ -158,6 +190,29 @@
     return 0;
 }
 
+/* An agent that is stopping waits until its outcomes are safe here. */
+static void
+send_taken(struct entry *entry, const struct ent_peer *agent,
+           const struct msg_result *result, const struct ent_job *job)
+{
+    const struct ent_issuer *issuer =
+        Enti_FindIssuer(entry, result->key.issuer);
+    if (!agent->draining || result->state < TASK_FINISHED || !issuer ||
+        !Enti_IsOwner(issuer)) {
+        return;
+    }
+    int settled =
+        job ? job->state == ENT_JOB_OPEN || job->state == ENT_JOB_ANSWERED
+            : issuer->state == ENT_ISSUER_OWN;
+    if (!settled && !Enti_HasReported(issuer, agent->member.incarnation)) {
+        return;
+    }
+    struct msg msg = {.type = MSG_TAKEN};
+    msg.u.taken.key = result->key;
+    msg.u.taken.task = result->task;
+    Act_Send(&entry->sink, agent->member.incarnation, &msg);
+}
+
 void
 Enti_OnResult(struct entry *entry, struct now now, struct ent_peer *agent,
               const struct msg_result *result)
@@ -170,15 +225,18 @@
     struct ent_job *job = Enti_FindJob(entry, &result->key);
     if (!job || job->state != ENT_JOB_OPEN) {
         CTR_INC(entry->counters, result_stale);
+        send_taken(entry, agent, result, job);
         return;
     }
     struct ent_task *task = find_task(job, result->task);
     if (!task || task->state != ENT_SENT ||
         task->agent != agent->member.incarnation) {
         CTR_INC(entry->counters, result_duplicate);
-        return;
     }
-    apply_result(entry, now, job, task, agent, result);
+    else {
+        apply_result(entry, now, job, task, agent, result);
+    }
+    send_taken(entry, agent, result, job);
     if (service && service->waiting) {
         Enti_Place(entry, now, service);
     }
@@ -195,12 +253,7 @@
         if (task->state != ENT_SENT || task->agent != agent) {
             continue;
         }
-        if (job->flags & SUB_IDEMPOTENT) {
-            Enti_Requeue(entry, job, task);
-        }
-        else {
-            fail_job(entry, job, task, CODE_OUTCOME_UNKNOWN);
-        }
+        on_unknown(entry, job, task, CODE_OUTCOME_UNKNOWN);
     }
 }
 
@@ -209,12 +262,10 @@
 {
     uint64_t incarnation = agent->member.incarnation;
     struct ent_service *service = agent->service;
-    uint32_t slot = 0;
-    struct ent_job *job;
     agent->leaving = 1;
-    while ((job = Tab_Next(&entry->jobs, &slot))) {
-        if (job->state == ENT_JOB_OPEN) {
-            lose_job_tasks(entry, job, incarnation);
+    for (uint32_t i = entry->open_jobs; i-- > 0;) {
+        if (i < entry->open_jobs && entry->open[i]->state == ENT_JOB_OPEN) {
+            lose_job_tasks(entry, entry->open[i], incarnation);
         }
     }
     agent->outstanding = 0;
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -12,14 +12,11 @@
 
 /* A reason to refuse a job that was never started, CODE_OK for none. */
 static enum code
-check_new(const struct entry *entry, const struct ent_job *job)
+check_new(const struct ent_job *job)
 {
     if (!job->service) {
         return CODE_UNKNOWN_SERVICE;
     }
-    if (entry->draining) {
-        return CODE_DRAINING;
-    }
     struct ent_peer *agent;
     DL_FOREACH(job->service->agents, agent)
     {
@@ -36,7 +33,7 @@
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_Service(entry, job->service_name, 0);
     if (job->waiting == job->task_count) {
-        enum code code = check_new(entry, job);
+        enum code code = check_new(job);
         if (code != CODE_OK) {
             Enti_Answer(entry, job, code, job->service_name);
             return;
@@ -66,8 +63,11 @@
 {
     (void)now;
     CTR_INC(entry->counters, jobs_resubmitted);
-    if (job->tasks && job->body_hash != Enti_HashBody(sub)) {
-        Enti_Refuse(entry, from, conn, &sub->key, CODE_KEY_REUSED, NULL);
+    if (job->body_hash && job->body_hash != Enti_HashBody(sub)) {
+        /* Only the owner can tell which of two bodies came first. */
+        enum code code =
+            job->state == ENT_JOB_REMOTE ? CODE_TRY_AGAIN : CODE_KEY_REUSED;
+        Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
         return;
     }
     if (job->state == ENT_JOB_ANSWERED) {
@@ -87,7 +87,8 @@
         if (job && job->state == ENT_JOB_HELD && !job->held) {
             Enti_DropJob(entry, job);
         }
-        enum code code = fresh ? CODE_NO_MEMORY : CODE_TRY_AGAIN;
+        /* Another copy of what an entry passed on may come later. */
+        enum code code = fresh && from == 0 ? CODE_NO_MEMORY : CODE_TRY_AGAIN;
         Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
         return;
     }
@@ -116,7 +117,8 @@
     }
     if (!Enti_IsOwner(issuer)) {
         struct ent_peer *owner = Enti_FindPeer(entry, issuer->epoch.owner);
-        if (owner && Enti_IsAlive(now, owner)) {
+        if ((owner && Enti_IsAlive(now, owner)) || entry->version == 0 ||
+            now.us - entry->started_us < SETTLE_US) {
             return NULL;
         }
         Enti_TakeOver(entry, now, issuer);
@@ -137,6 +139,11 @@
         Enti_Refuse(entry, from, conn, &sub->key, CODE_KEY_EXPIRED, NULL);
         return;
     }
+    if (entry->draining && !job) {
+        enum code code = from == 0 ? CODE_DRAINING : CODE_TRY_AGAIN;
+        Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
+        return;
+    }
     struct ent_issuer *issuer = Enti_FindIssuer(entry, sub->key.issuer);
     if (from != 0) {
         issuer = accept_range(entry, now, &sub->key);
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -11,6 +11,7 @@
     while (issuer->fences) {
         struct ent_fence *fence = issuer->fences;
         issuer->fences = fence->next;
+        free(fence->seen);
         free(fence);
     }
 }
@@ -57,6 +58,12 @@
     return fence && fence->answered && fence->received >= fence->expected;
 }
 
+int
+Enti_HasReported(const struct ent_issuer *issuer, uint64_t agent)
+{
+    return is_complete(find_fence(issuer, agent));
+}
+
 /* Fence the agents that were registered at `rv` and are not yet fenced. */
 static void
 fence_agents(struct entry *entry, struct now now, struct ent_issuer *issuer,
@@ -76,7 +83,13 @@
 Enti_TakeOver(struct entry *entry, struct now now, struct ent_issuer *issuer)
 {
     CTR_INC(entry->counters, takeovers);
-    issuer->epoch.n = issuer->epoch.n ? issuer->epoch.n + 1 : 2;
+    /* An epoch is never taken twice: messages of the first time may still be
+     * on their way. */
+    if (issuer->epoch.n > entry->epoch_n) {
+        entry->epoch_n = issuer->epoch.n;
+    }
+    entry->epoch_n += entry->epoch_n ? 1 : 2;
+    issuer->epoch.n = entry->epoch_n;
     issuer->epoch.owner = entry->settings.incarnation;
     issuer->state = ENT_ISSUER_TAKEN;
     issuer->loss = entry->last_loss;
@@ -135,14 +148,32 @@
     return state;
 }
 
+/* A request that may be repeated can be known to several agents; the one
+ * that has its answer counts most, then one that runs it. */
+static int
+held_rank(const struct ent_held *held)
+{
+    switch (held->state) {
+    case TASK_FINISHED:
+        return 3;
+    case TASK_RUNNING:
+        return 2;
+    default:
+        return 1;
+    }
+}
+
 static struct ent_held *
 find_held(const struct ent_job *job, uint32_t task)
 {
-    struct ent_held *held = job->held;
-    while (held && held->task != task) {
-        held = held->next;
+    struct ent_held *best = NULL;
+    for (struct ent_held *held = job->held; held; held = held->next) {
+        if (held->task == task &&
+            (!best || held_rank(held) > held_rank(best))) {
+            best = held;
+        }
     }
-    return held;
+    return best;
 }
 
 /* Set a task from what an agent remembers. Returns the code that the job
@@ -200,6 +231,14 @@
     job->waiting = job->task_count;
     job->open = job->task_count;
     job->next_waiting = 0;
+    job->due_us = 0;
+}
+
+static int
+may_repeat(const struct ent_job *job)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    return (job->flags & both) == both;
 }
 
 static void
@@ -207,6 +246,10 @@
             int uncertain)
 {
     enum code fault = CODE_OK;
+    if (job->held_hash && job->held_hash != job->body_hash) {
+        Enti_EndRemote(entry, job, CODE_KEY_REUSED, NULL);
+        return;
+    }
     reset_tasks(job);
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
@@ -219,8 +262,11 @@
             fault = code;
         }
     }
-    if (uncertain && job->waiting > 0 && !(job->flags & SUB_IDEMPOTENT)) {
-        fault = CODE_OUTCOME_UNKNOWN;
+    if (uncertain && job->waiting > 0) {
+        job->maybe_ran = 1;
+        if (!may_repeat(job)) {
+            fault = CODE_OUTCOME_UNKNOWN;
+        }
     }
     if (job->cancelled) {
         fault = CODE_JOB_CANCELLED;
@@ -253,100 +299,19 @@
     }
 }
 
-static void
-collect_jobs(struct entry *entry, struct now now, uint64_t issuer)
+void
+Enti_CollectRange(struct entry *entry, struct now now,
+                  const struct ent_issuer *issuer)
 {
-    uint32_t slot = 0;
-    struct ent_job *job;
-    while ((job = Tab_Next(&entry->jobs, &slot))) {
-        if (job->key.issuer == issuer && job->state == ENT_JOB_COLLECTING) {
+    for (uint32_t i = entry->open_jobs; i-- > 0;) {
+        struct ent_job *job = i < entry->open_jobs ? entry->open[i] : NULL;
+        if (job && job->key.issuer == issuer->issuer &&
+            job->state == ENT_JOB_COLLECTING) {
             Enti_Collect(entry, now, job);
         }
     }
 }
 
-static struct bytes
-copy_bytes(struct bytes bytes)
-{
-    struct bytes copy = {NULL, 0};
-    void *data = malloc(bytes.size ? bytes.size : 1);
-    if (data && bytes.size) {
-        memcpy(data, bytes.data, bytes.size);
-        copy.size = bytes.size;
-    }
-    copy.data = data;
-    return copy;
-}
-
-static void
-keep_held(struct ent_job *job, const struct ent_peer *agent,
-          const struct msg_result *result, struct ent_fence *fence)
-{
-    struct ent_held *held = find_held(job, result->task);
-    if (held && held->agent == agent->member.incarnation) {
-        free((void *)held->output.data);
-    }
-    else {
-        held = calloc(1, sizeof(*held));
-        if (!held) {
-            return;
-        }
-        held->next = job->held;
-        job->held = held;
-        fence->received++;
-    }
-    held->agent = agent->member.incarnation;
-    held->task = result->task;
-    held->state = result->state;
-    held->code = result->code;
-    held->output = copy_bytes(result->output);
-    if (result->task == WIRE_WHOLE_KEY) {
-        job->cancelled = 1;
-    }
-}
-
-void
-Enti_OnHeld(struct entry *entry, struct now now, struct ent_peer *agent,
-            const struct msg_result *held)
-{
-    struct ent_issuer *issuer = Enti_FindIssuer(entry, held->key.issuer);
-    (void)now;
-    if (!issuer || issuer->state != ENT_ISSUER_TAKEN) {
-        return;
-    }
-    struct ent_fence *fence = find_fence(issuer, agent->member.incarnation);
-    struct ent_job *job = Enti_AddJob(entry, &held->key);
-    if (!fence || !job || is_complete(fence)) {
-        return;
-    }
-    keep_held(job, agent, held, fence);
-}
-
-void
-Enti_OnFenced(struct entry *entry, struct now now, struct ent_peer *agent,
-              const struct msg_fenced *fenced)
-{
-    struct ent_issuer *issuer = Enti_FindIssuer(entry, fenced->issuer);
-    if (!issuer || issuer->state != ENT_ISSUER_TAKEN) {
-        return;
-    }
-    int order = Epoch_Compare(fenced->epoch, issuer->epoch);
-    if (order > 0) {
-        Enti_StepDown(entry, now, issuer, fenced->epoch);
-        return;
-    }
-    struct ent_fence *fence = find_fence(issuer, agent->member.incarnation);
-    if (order < 0 || !fence || is_complete(fence)) {
-        return;
-    }
-    fence->answered = 1;
-    fence->expected = fenced->count;
-    fence->forgotten_s = fenced->forgotten_s;
-    if (is_complete(fence)) {
-        collect_jobs(entry, now, issuer->issuer);
-    }
-}
-
 void
 Enti_ResendFences(struct entry *entry, struct now now)
 {
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -65,6 +65,16 @@
     registry->done(registry->context, version);
 }
 
+/* Whether the row that is written over may stand for an agent's memory. The
+ * row of a removed member may, as what it was is not known any more. */
+static int
+is_loss(const struct registry *registry, const json_t *value)
+{
+    const char *role = json_string_value(json_object_get(value, "role"));
+    return strcmp(registry->settings->role, "agent") == 0 || !role ||
+           strcmp(role, "entry") != 0;
+}
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
@@ -90,7 +100,7 @@
             continue;
         }
         registry->row_version = version;
-        registry->row_replaced = !json_is_null(value);
+        registry->row_replaced = is_loss(registry, value);
         if (Reg_ReadMember(&member, name, value, version) == 0 &&
             member.incarnation == registry->incarnation) {
             found_registered(registry, version);
