Stop tasks on the upstream; finish what is under way before a stop

Cause: the agent ignored orders to stop a task, cut a call at its lease and took the slot for free while the upstream went on; a call that never reached the upstream, and one whose answer was lost, were both told as "task failed". A stopping process waits a moment until its last answers have left.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -156,7 +156,8 @@
 void Ag_OnMessage(struct agent *agent, struct now now,
                   const struct frame_head *head, const struct msg *msg);
 
-/** A task that was to be run has ended. CODE_OK, CODE_TASK_FAILED, or
+/** A task that was to be run has ended. CODE_OK, CODE_TASK_FAILED,
+ * CODE_NO_UPSTREAM when it did not reach the upstream, which is a refusal, or
  * CODE_OUTCOME_UNKNOWN when the upstream's answer was lost. */
 void Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle task,
                   enum code code, struct bytes output, uint32_t run_us);
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -201,14 +201,23 @@
         return;
     }
     free_slot(agent, task);
-    if (code != CODE_OK && task->lapsed) {
+    if (code == CODE_TASK_FAILED && task->lapsed) {
         code = CODE_LEASE_LAPSED;
     }
-    else if (code != CODE_OK && task->stop_us) {
+    else if (code == CODE_TASK_FAILED && task->stop_us) {
         code = CODE_JOB_CANCELLED;
     }
     task->code = code;
     task->run_us = run_us;
+    if (code == CODE_NO_UPSTREAM) {
+        task->state = TASK_REFUSED;
+        Agi_SendTask(agent, task->epoch.owner, MSG_RESULT, task);
+        return;
+    }
+    if (code == CODE_OUTCOME_UNKNOWN) {
+        /* It may go on running; the upstream's next word tells. */
+        agent->foreign++;
+    }
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
     CTR_INC(agent->counters, tasks_finished);
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "call.h"
 #include "daemon.h"
 #include "core/agent.h"
 #include "shell/api.h"
@@ -20,39 +21,23 @@
     struct loop loop;
     struct links links;
     struct httpd httpd;
-    struct httpc upstream;
+    struct calls calls;
     struct store store;
     struct registry registry;
     struct agent core;
     char upstream_addr[WIRE_ADDR_SIZE];
     struct loop_timer tick;
     struct loop_timer poll;
-    uint64_t stop_us;
-};
-
-/* A task on its way to the upstream and back. */
-struct call {
-    struct agent_daemon *daemon;
-    tab_handle task;
-    uint64_t begun_us;
+    uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
+    uint64_t idle_us; /* Since when there is nothing left to do. */
 };
 
 static void
-on_task_done(void *context, const struct hc_result *result)
+on_task_end(void *context, tab_handle task, enum code code,
+            struct bytes output, uint32_t run_us)
 {
-    struct call *call = context;
-    struct agent_daemon *daemon = call->daemon;
-    struct now now = Loop_Now();
-    enum code code = CODE_TASK_FAILED;
-    if (result->status == 200) {
-        code = CODE_OK;
-    }
-    else {
-        CTR_INC(&daemon->counters, upstream_errors);
-    }
-    Ag_OnTaskEnd(&daemon->core, now, call->task, code, result->body,
-                 (uint32_t)(now.us - call->begun_us));
-    free(call);
+    struct agent_daemon *daemon = context;
+    Ag_OnTaskEnd(&daemon->core, Loop_Now(), task, code, output, run_us);
 }
 
 static void
@@ -70,30 +55,9 @@
 {
     char path[HS_PATH_SIZE];
     const struct msg_start *start = run->start;
-    struct call *call = calloc(1, sizeof(*call));
-    struct hc_result none = {0};
-    if (!call) {
-        return;
-    }
-    call->daemon = daemon;
-    call->task = run->task;
-    call->begun_us = Loop_Now().us;
     write_head(daemon, start, path, sizeof(path));
-    struct hc_call http = {
-        .addr = daemon->upstream_addr,
-        .method = "POST",
-        .path = path,
-        .body = start->input,
-        .timeout_ms = start->lease_ms,
-        .done = on_task_done,
-        .context = call,
-    };
-    if (start->input.size == 0) {
-        http.body = (struct bytes){"{}", 2};
-    }
-    if (Hc_Call(&daemon->upstream, &http)) {
-        on_task_done(call, &none);
-    }
+    Call_Run(&daemon->calls, run->task, daemon->upstream_addr, path,
+             start->input, start->lease_ms);
 }
 
 static void
@@ -114,6 +78,8 @@
         run_task(daemon, &act->u.run);
         break;
     case ACT_STOP:
+        Call_Stop(&daemon->calls, act->u.stop.task);
+        break;
     case ACT_REPLY:
         break;
     }
@@ -238,8 +204,17 @@
             now.us + (uint64_t)daemon->settings->stop_limit_s * US_PER_S;
         Ag_Drain(&daemon->core, now);
     }
-    if (daemon->stop_us &&
-        (now.us >= daemon->stop_us || Ag_IsIdle(&daemon->core))) {
+    if (!daemon->stop_us) {
+        return;
+    }
+    if (!Ag_IsIdle(&daemon->core)) {
+        daemon->idle_us = 0;
+    }
+    else if (!daemon->idle_us) {
+        daemon->idle_us = now.us;
+    }
+    int flushed = daemon->idle_us && now.us - daemon->idle_us >= STOP_FLUSH_US;
+    if (flushed || now.us >= daemon->stop_us) {
         Loop_Stop(&daemon->loop);
     }
 }
@@ -257,6 +232,7 @@
 on_flush(void *context)
 {
     struct agent_daemon *daemon = context;
+    Call_Flush(&daemon->calls);
     Link_Flush(&daemon->links);
 }
 
@@ -296,7 +272,8 @@
                   &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
                    &daemon->counters, err) ||
-        Hc_Init(&daemon->upstream, &daemon->loop, HC_MAX_LANES, err) ||
+        Call_Init(&daemon->calls, &daemon->loop, on_task_end, daemon,
+                  &daemon->counters, err) ||
         Hs_Init(&daemon->httpd, &daemon->loop, settings->listen_http, NULL,
                 NULL, on_request, NULL, daemon, &daemon->counters, err)) {
         return -1;
@@ -326,7 +303,7 @@
     Link_Finish(&daemon.links);
     Loop_Finish(&daemon.loop);
     Hs_Finish(&daemon.httpd);
-    Hc_Finish(&daemon.upstream);
+    Call_Finish(&daemon.calls);
     Store_Finish(&daemon.store);
     Ag_Finish(&daemon.core);
     return 0;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -11,6 +11,9 @@
 /** Time between reads of the table service. */
 #define POLL_US 1000000ull
 
+/** Answers and messages have this long to leave an idle process. */
+#define STOP_FLUSH_US 300000ull
+
 /** Run an entry until it is stopped. Returns the exit code. */
 int Entry_Main(const struct settings *settings);
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -25,6 +25,7 @@
     struct loop_timer poll;
     int polling;
     uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
+    uint64_t idle_us; /* Since when there is nothing left to do. */
 };
 
 static void
@@ -328,8 +329,17 @@
             now.us + (uint64_t)daemon->settings->stop_limit_s * US_PER_S;
         Ent_Drain(&daemon->core, now);
     }
-    if (daemon->stop_us &&
-        (now.us >= daemon->stop_us || Ent_IsIdle(&daemon->core))) {
+    if (!daemon->stop_us) {
+        return;
+    }
+    if (!Ent_IsIdle(&daemon->core)) {
+        daemon->idle_us = 0;
+    }
+    else if (!daemon->idle_us) {
+        daemon->idle_us = now.us;
+    }
+    int flushed = daemon->idle_us && now.us - daemon->idle_us >= STOP_FLUSH_US;
+    if (flushed || now.us >= daemon->stop_us) {
         Loop_Stop(&daemon->loop);
     }
 }
--- a/shell/include/shell/httpc.h
+++ b/shell/include/shell/httpc.h
@@ -16,6 +16,7 @@
 /** Outcome of a call; valid only in the callback. */
 struct hc_result {
     int status; /**< HTTP status, 0 when there was no answer. */
+    int sent;   /**< The request may have reached the server. */
     struct bytes body;
 };
 
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -26,6 +26,7 @@
     char token[HS_HEADER_SIZE];
     char key[HS_HEADER_SIZE];
     int status;
+    int sent;
     unsigned char *reply;
     size_t reply_size;
     lws_sorted_usec_list_t timeout;
@@ -39,6 +40,7 @@
     }
     struct hc_result result = {
         .status = status,
+        .sent = lane->sent,
         .body = {lane->reply, (uint32_t)lane->reply_size},
     };
     unsigned char *reply = lane->reply;
@@ -152,6 +154,7 @@
     }
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        lane->sent = 1;
         return add_headers(lane, wsi, (unsigned char **)in, len);
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
         return write_body(lane, wsi);
@@ -250,6 +253,7 @@
     lane->done = call->done;
     lane->context = call->context;
     lane->status = 0;
+    lane->sent = 0;
     snprintf(lane->token, sizeof(lane->token), "%s",
              call->token ? call->token : "");
     snprintf(lane->key, sizeof(lane->key), "%s", call->key ? call->key : "");
