--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -19,7 +19,7 @@
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
 /** An epoch above the first is kept at least this long after its last use. */
-#define AG_EPOCH_KEEP_US (25 * 3600 * US_PER_S)
+#define AG_EPOCH_KEEP_US (25 * 3600ull * US_PER_S)
 /** An order to stop a task is given again after this. */
 #define AG_STOP_RETRY_US (1 * US_PER_S)
 /** A stopping agent offers its results again after this. */
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -24,7 +24,7 @@
     entry->counters = counters;
     entry->started_us = now.us;
     Pol_Init(&entry->policy);
-    entry->open = calloc(settings->job_capacity, sizeof(*entry->open));
+    entry->open = calloc(settings->job_capacity, sizeof(void *));
     if (!entry->open ||
         Tab_Init(&entry->asks, sizeof(struct ent_ask), ENT_MAX_ASKS) ||
         Tab_Init(&entry->peers, sizeof(struct ent_peer),
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -222,7 +222,7 @@
     fence.u.fence.issuer = 77;
     fence.u.fence.epoch = (struct epoch){2, 600};
     deliver_from(600, &fence);
-    for (uint64_t i = 0; i < 2 * AG_MAX_ISSUERS; i++) {
+    for (uint64_t i = 0; i < 2ull * AG_MAX_ISSUERS; i++) {
         struct msg start = make_start(1, 1, 1);
         start.u.start.key.issuer = 1000 + i;
         start.u.start.key.rv = 1;
