Keep configuration fresh at entries and agents, check it at the act

Cause: a paused or cut-off process would start tasks under a configuration that operators had changed. Each process says what it has applied, counted from when it was asked. An entry is fresh by the table service or by a majority of entries, an agent by an entry; both check before a start. Nothing is checked unless the shell asks for it.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -47,7 +47,14 @@
     X(upstream_errors, "failed calls of the upstream")                        \
     X(actions_dropped, "actions dropped because the queue was full")          \
     X(config_applied, "configuration versions applied")                       \
-    X(config_corrupt, "configuration rows that could not be used")
+    X(config_corrupt, "configuration rows that could not be used")            \
+    X(config_pushed, "configurations and rows sent to other processes")       \
+    X(config_changes, "changes committed through this entry")                 \
+    X(config_conflicts, "changes that another change came before")            \
+    X(config_read_back, "changes whose lost answer was read back")            \
+    X(places_not_fresh, "placements held back for want of freshness")         \
+    X(members_forgotten, "dead members removed from the registry")            \
+    X(tokens_refused, "requests with a missing or wrong token")
 
 /** Index of a counter. */
 enum counter_id {
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -26,6 +26,7 @@
     uint64_t incarnation;
     uint32_t task_capacity;  /**< Starts remembered at once. */
     uint32_t key_lifetime_s; /**< Keys older than this are forgotten. */
+    uint8_t check_fresh;     /**< Start nothing unless fresh. */
 };
 
 /** What an upstream says of itself. */
@@ -91,6 +92,7 @@
     uint64_t link_us; /**< When the connection was last made. */
     uint64_t echo_us; /**< Entry's `sent_us` to echo. */
     uint64_t version; /**< Registry version that it has applied. */
+    uint64_t ask_us;  /**< Its latest question, to be echoed. */
     UT_hash_handle hh;
 };
 
@@ -117,6 +119,9 @@
     uint64_t next_beat_us;
     uint32_t sweep_slot;
     uint8_t draining;
+    uint64_t config;   /**< Version of the configuration applied. */
+    uint64_t fresh_us; /**< When it was known to be the newest, 0: never. */
+    uint8_t is_out;    /**< Out of service by the configuration. */
 };
 
 /** Make an agent on the caller's memory. Returns -1 for lack of memory. */
@@ -129,6 +134,14 @@
 /** The registration was committed at `version`. */
 void Ag_OnRegistered(struct agent *agent, uint64_t version);
 
+/** A configuration is in force from now on; an older one is ignored. `is_out`
+ * takes this agent out of service. */
+void Ag_OnConfig(struct agent *agent, struct now now, uint64_t version,
+                 int is_out);
+
+/** True while this agent may start tasks. */
+int Ag_IsFresh(const struct agent *agent, struct now now);
+
 /** The upstream announced itself or renewed. */
 void Ag_OnAnnounce(struct agent *agent, struct now now,
                    const struct ag_announce *announce);
--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -23,4 +23,10 @@
 /** A process silent for this long is taken for dead. */
 #define PEER_SILENCE_US (3 * US_PER_S)
 
+/** A process acts only on a configuration known within this time to be the
+ * newest. */
+#define FRESH_US (3 * US_PER_S)
+/** Allowance for clocks that run at different speeds. */
+#define FRESH_MARGIN_US (100 * US_PER_MS)
+
 #endif
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -10,6 +10,7 @@
 #include "base/tab.h"
 #include "core/act.h"
 #include "core/clock.h"
+#include "core/config.h"
 #include "core/policy.h"
 #include "wire/msg.h"
 
@@ -26,6 +27,7 @@
     uint32_t peer_capacity;  /**< Members known at once. */
     uint32_t key_lifetime_s; /**< Answers and keys are kept this long. */
     unsigned char seed[16];  /**< For random numbers. */
+    uint8_t check_fresh;     /**< Place nothing unless fresh. */
 };
 
 /** A row of the registry. */
@@ -35,6 +37,8 @@
     uint64_t incarnation;
     char addr[WIRE_ADDR_SIZE];
     char dc[WIRE_NAME_SIZE];
+    char region[WIRE_NAME_SIZE];
+    char rack[WIRE_NAME_SIZE];
     uint64_t registered; /**< Version of the row. */
     uint8_t replaced;    /**< The row replaced another incarnation. */
 };
@@ -46,6 +50,7 @@
     struct ent_peer *agents;
     struct ent_job *queue[PRIO_COUNT]; /**< Jobs with waiting tasks. */
     uint32_t waiting;                  /**< Tasks waiting in the queues. */
+    struct policy policy;              /**< In force for the service. */
     UT_hash_handle hh;
 };
 
@@ -69,6 +74,16 @@
     uint32_t outstanding; /**< Task slots taken by this entry's tasks. */
     uint32_t calls;       /**< This entry's requests there. */
     uint32_t others;      /**< Slots taken by others, as last reported. */
+    struct policy policy; /**< In force for tasks that run there. */
+    uint64_t config;      /**< Configuration that it has applied. */
+    uint64_t members;     /**< Rows that it has applied; entries. */
+    uint64_t ask_us;      /**< Its latest question, to be echoed. */
+    uint64_t vouch_us;    /**< When the question was sent that its latest
+                               vouching answered, 0 for none. */
+    uint64_t push_us;     /**< When state was last sent to it. */
+    uint64_t return_us;   /**< When it came back into service, 0 for never. */
+    uint8_t is_out;       /**< Out of service or said to be leaving. */
+    uint8_t says_leaving; /**< What the agent last said. */
     UT_hash_handle hh;
 };
 
@@ -191,6 +206,38 @@
     UT_hash_handle hh;
 };
 
+/** Configuration that an entry has applied. */
+struct ent_conf {
+    const struct config *config; /**< Borrowed; NULL before the first. */
+    struct bytes whole;          /**< Borrowed; as sent to agents. */
+    struct bytes diff;           /**< The same, from the version before. */
+    uint64_t applied_us;
+    uint64_t store_us;  /**< When the last answered read was sent, 0: none. */
+    uint64_t fresh_us;  /**< When it was known to be the newest. */
+    uint64_t lost_us;   /**< When a member was last lost or replaced. */
+    uint32_t wall;      /**< Time at which expiry was last looked at. */
+    uint8_t superseded; /**< The own row is gone: never fresh again. */
+    uint8_t has_team_exceptions;
+};
+
+/** A committed change that waits to be accepted. */
+struct ent_accept {
+    uint64_t rows;        /**< Version of the rows that carry it. */
+    uint64_t config;      /**< Version of the configuration. */
+    uint64_t commit_us;   /**< When the commit was known. */
+    uint64_t majority_us; /**< When most entries had it, 0 for not yet. */
+};
+
+/** Who has taken a change in. */
+struct ent_acks {
+    uint32_t entries; /**< Registered entries, this one too. */
+    uint32_t entries_acked;
+    uint32_t agents;
+    uint32_t agents_acked;
+    uint8_t lapsed; /**< Whoever has not, has stopped starting tasks. */
+    uint8_t accepted;
+};
+
 /** The entry. */
 struct entry {
     struct ent_settings settings;
@@ -217,7 +264,9 @@
     uint64_t next_scan_us;
     uint32_t sweep_slot;
     uint8_t draining;
-    struct policy policy; /**< Fleet-wide values in force. */
+    struct policy policy;  /**< Fleet-wide values in force. */
+    struct policy scratch; /**< Values for a service and a team. */
+    struct ent_conf conf;
 };
 
 /** Make an entry on the caller's memory. Returns -1 for lack of memory. */
@@ -238,6 +287,27 @@
 /** All rows up to `version` have been handed in. */
 void Ent_OnVersion(struct entry *entry, struct now now, uint64_t version);
 
+/** A read of the table service that was sent at `asked_us` has been
+ * answered, and all that it brought has been handed in. */
+void Ent_OnRead(struct entry *entry, struct now now, uint64_t asked_us);
+
+/** A configuration is in force from now on. What is given is borrowed until
+ * the next call. `announce` tells all agents at once. */
+void Ent_OnConfig(struct entry *entry, struct now now,
+                  const struct config *config, struct bytes whole,
+                  struct bytes diff, int announce);
+
+/** True while this entry may start tasks. */
+int Ent_IsFresh(const struct entry *entry, struct now now);
+
+/** True when a process has taken a change in. */
+int Ent_HasAcked(const struct ent_peer *peer, const struct ent_accept *accept);
+
+/** Where a change stands: accepted when most registered entries have it and
+ * every member has it or has stopped starting tasks. */
+struct ent_acks Ent_CheckAccept(const struct entry *entry, struct now now,
+                                struct ent_accept *accept);
+
 /** Issue `count` keys. Returns CODE_OK, CODE_NOT_FRESH before the registry
  * is known, CODE_DRAINING when stopping. */
 enum code Ent_IssueKeys(struct entry *entry, struct now now, uint32_t count,
--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -13,7 +13,9 @@
     X(LEASE_MS, "lease_ms", "ms", 100, 3600000, 60000,                        \
       "longest run time of a task")                                           \
     X(QUEUE_LIMIT, "queue_limit", "tasks", 1, 1000000, 20000,                 \
-      "tasks that may wait for a slot at one entry")
+      "tasks that may wait for a slot at one entry")                          \
+    X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 10000,               \
+      "time over which a returning upstream is given its slots back")
 
 /** Index of a setting. */
 enum policy_id {
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -147,6 +147,9 @@
     case MSG_READ:
         Agi_OnRead(agent, &msg->u.read);
         break;
+    case MSG_VERSION:
+        Agi_OnVersion(agent, now, entry, &msg->u.version);
+        break;
     default:
         break;
     }
@@ -217,6 +220,7 @@
             link_entry(agent, now, entry);
         }
         Agi_SendStatus(agent, now, entry);
+        Agi_SendVersion(agent, now, entry);
     }
 }
 
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -58,4 +58,14 @@
 void Agi_SendStatus(struct agent *agent, struct now now,
                     struct ag_entry *entry);
 
+/* config.c */
+
+/** Tell an entry what this agent has applied. */
+void Agi_SendVersion(struct agent *agent, struct now now,
+                     struct ag_entry *entry);
+
+/** Take in what an entry has applied. */
+void Agi_OnVersion(struct agent *agent, struct now now, struct ag_entry *entry,
+                   const struct msg_version *version);
+
 #endif
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -47,9 +47,13 @@
 
 /* A reason to refuse that may pass, CODE_OK for none. */
 static enum code
-check_room(const struct agent *agent, const struct msg_start *start)
+check_room(const struct agent *agent, struct now now,
+           const struct msg_start *start)
 {
-    if (agent->draining || agent->upstream.leaving) {
+    if (!Ag_IsFresh(agent, now)) {
+        return CODE_NOT_FRESH;
+    }
+    if (agent->draining || agent->upstream.leaving || agent->is_out) {
         return CODE_OUT_OF_SERVICE;
     }
     if (agent->announced_us == 0) {
@@ -119,7 +123,7 @@
 start_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
-    enum code code = check_room(agent, start);
+    enum code code = check_room(agent, now, start);
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -139,6 +139,9 @@
     case MSG_READ:
         on_read(entry, &msg->u.read.key);
         break;
+    case MSG_VERSION:
+        Enti_OnVersion(entry, now, peer, &msg->u.version);
+        break;
     default:
         break;
     }
@@ -195,7 +198,9 @@
         return;
     }
     if (job->state == ENT_JOB_OPEN) {
-        resend_starts(entry, now, job);
+        if (Ent_IsFresh(entry, now)) {
+            resend_starts(entry, now, job);
+        }
     }
     else if (job->state == ENT_JOB_COLLECTING) {
         Enti_Collect(entry, now, job);
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -28,6 +28,30 @@
 const struct policy *Enti_AgentPolicy(const struct entry *entry,
                                       const struct ent_peer *agent);
 
+/** Work out the values for one agent again. */
+void Enti_ResolveAgent(struct entry *entry, struct now now,
+                       struct ent_peer *agent);
+
+/** Work out the values for one service again. */
+void Enti_ResolveService(struct entry *entry, struct ent_service *service);
+
+/** Work out all values again. */
+void Enti_ResolveAll(struct entry *entry, struct now now);
+
+/** The part of `room` that a returning agent may be given by now. */
+uint32_t Enti_RampRoom(struct now now, const struct ent_peer *agent,
+                       uint32_t room);
+
+/* fresh.c */
+
+/** Tell a process what this one has applied. */
+void Enti_SendVersion(struct entry *entry, struct now now,
+                      struct ent_peer *peer);
+
+/** Take in what a process has applied. */
+void Enti_OnVersion(struct entry *entry, struct now now, struct ent_peer *peer,
+                    const struct msg_version *version);
+
 /* peer.c */
 
 /** Find a process by incarnation, NULL when it is not known. */
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -85,6 +85,7 @@
     }
     if (peer) {
         lose_member(entry, now, peer, member->registered);
+        entry->conf.lost_us = now.us;
     }
     else if (member->replaced && member->role == ROLE_AGENT) {
         Enti_NoteLoss(entry, 0, member->registered);
@@ -99,6 +100,7 @@
     peer->member = *member;
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
+    Enti_ResolveAgent(entry, now, peer);
     link_peer(entry, now, peer);
 }
 
@@ -109,6 +111,7 @@
     struct ent_peer *peer = find_node(entry, node);
     if (peer) {
         lose_member(entry, now, peer, version);
+        entry->conf.lost_us = now.us;
     }
     else {
         Enti_NoteLoss(entry, 0, version);
@@ -164,6 +167,7 @@
     if (service) {
         memcpy(service->name, name, strlen(name) + 1);
         HASH_ADD_STR(entry->service_index, name, service);
+        Enti_ResolveService(entry, service);
     }
     return service;
 }
@@ -176,7 +180,8 @@
     if (status->service[0]) {
         service = Enti_Service(entry, status->service, 1);
     }
-    if (peer->service != service) {
+    int moved = peer->service != service;
+    if (moved) {
         leave_service(peer);
         peer->service = service;
         if (service) {
@@ -188,6 +193,10 @@
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
     peer->leaving = status->leaving;
+    if (moved || peer->says_leaving != status->leaving) {
+        peer->says_leaving = status->leaving;
+        Enti_ResolveAgent(entry, now, peer);
+    }
     peer->others = status->busy > peer->outstanding
                        ? status->busy - peer->outstanding
                        : 0;
@@ -205,6 +214,7 @@
     msg.u.beat.version = entry->version;
     msg.u.beat.draining = entry->draining;
     Act_Send(&entry->sink, peer->member.incarnation, &msg);
+    Enti_SendVersion(entry, now, peer);
     if (peer->member.role == ROLE_ENTRY) {
         Enti_SendIssuers(entry, peer->member.incarnation);
     }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -5,7 +5,7 @@
 #include "entry_impl.h"
 
 static uint32_t
-free_room(const struct ent_peer *agent, unsigned flags)
+free_room(struct now now, const struct ent_peer *agent, unsigned flags)
 {
     uint32_t used = agent->outstanding + agent->others;
     uint32_t room = agent->slots;
@@ -13,6 +13,7 @@
         used += agent->calls;
         room = agent->connections;
     }
+    room = Enti_RampRoom(now, agent, room);
     return used < room ? room - used : 0;
 }
 
@@ -41,7 +42,7 @@
     uint32_t best_score = 0;
     DL_FOREACH(job->service->agents, agent)
     {
-        uint32_t room = free_room(agent, job->flags);
+        uint32_t room = free_room(now, agent, job->flags);
         if (room == 0 || !may_run(agent, now, job) ||
             !is_in_service(entry, agent)) {
             continue;
@@ -139,6 +140,10 @@
 void
 Enti_Place(struct entry *entry, struct now now, struct ent_service *service)
 {
+    if (service->waiting && !Ent_IsFresh(entry, now)) {
+        CTR_INC(entry->counters, places_not_fresh);
+        return;
+    }
     for (int prio = 0; prio < PRIO_COUNT; prio++) {
         struct ent_job *job;
         struct ent_job *following;
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -130,6 +130,7 @@
     MSG_ANSWER,
     MSG_ASK,
     MSG_STATE,
+    MSG_VERSION,
 };
 
 /** Heartbeat, both ways. */
@@ -238,6 +239,21 @@
     struct bytes rows;
 };
 
+/** Age of a freshness that the sender does not have. */
+#define WIRE_NOT_FRESH UINT64_MAX
+
+/** Any to any: what the sender has applied. It answers the receiver's
+ * message of time `echo_us`, so it shows what was known after that. */
+struct msg_version {
+    uint64_t config;  /**< Version of the configuration. */
+    uint64_t members; /**< Version of the table service's rows; entries. */
+    uint64_t sent_us; /**< Sender's monotonic time. */
+    uint64_t echo_us; /**< Latest `sent_us` from the receiver, 0 for none. */
+    uint64_t age_us;  /**< Since the sender's configuration was known to be
+                           the newest; WIRE_NOT_FRESH for too long. */
+    uint8_t vouches;  /**< Has read the table service since it started. */
+};
+
 /** One message. */
 struct msg {
     enum msg_type type;
@@ -255,6 +271,7 @@
         struct msg_answer answer;
         struct msg_ask ask;
         struct msg_state state;
+        struct msg_version version;
     } u;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -165,6 +165,19 @@
     }
 }
 
+static void
+put_version(msgpack_packer *pk, const struct msg_version *m)
+{
+    msgpack_pack_array(pk, 7);
+    put_uint(pk, MSG_VERSION);
+    put_uint(pk, m->config);
+    put_uint(pk, m->members);
+    put_uint(pk, m->sent_us);
+    put_uint(pk, m->echo_us);
+    put_uint(pk, m->age_us);
+    put_uint(pk, m->vouches);
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -224,6 +237,9 @@
         put_uint(pk, msg->u.state.version);
         put_bytes(pk, msg->u.state.rows);
         break;
+    case MSG_VERSION:
+        put_version(pk, &msg->u.version);
+        break;
     }
 }
 
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -193,6 +193,17 @@
     m->forgotten_s = take_u32(c);
 }
 
+static void
+get_version(struct cursor *c, struct msg_version *m)
+{
+    m->config = take_u64(c);
+    m->members = take_u64(c);
+    m->sent_us = take_u64(c);
+    m->echo_us = take_u64(c);
+    m->age_us = take_u64(c);
+    m->vouches = (uint8_t)take_max(c, 1);
+}
+
 /* Arrays that messages point to, freed when the frame has been visited. */
 struct arena {
     void **blocks;
@@ -302,7 +313,7 @@
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_max(&c, MSG_STATE);
+    msg->type = (enum msg_type)take_max(&c, MSG_VERSION);
     switch (msg->type) {
     case MSG_BEAT:
         get_beat(&c, &msg->u.beat);
@@ -349,6 +360,9 @@
         msg->u.state.version = take_u64(&c);
         msg->u.state.rows = take_bytes(&c);
         break;
+    case MSG_VERSION:
+        get_version(&c, &msg->u.version);
+        break;
     default:
         return -1;
     }
