Change the configuration from any entry, accepted when in force

Cause: operators had no way to drive the fleet. An entry reads the newest rows, commits under compare-and-set, reads back a lost answer instead of writing again, and answers accepted only when most registered entries have the change and every member has it or has lost its freshness. Entries pass rows on to those that lag; agents get differences.

--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -132,7 +132,7 @@
 /** Why a value is in force. */
 struct cfg_why {
     int64_t value;
-    int is_default;                         /**< Set by operators. */
+    int is_default;                        /**< Set by operators. */
     const struct cfg_exception *exception; /**< NULL for a default. */
 };
 
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -81,6 +81,7 @@
     uint64_t vouch_us;    /**< When the question was sent that its latest
                                vouching answered, 0 for none. */
     uint64_t push_us;     /**< When state was last sent to it. */
+    uint64_t met_us;      /**< When it became known here. */
     uint64_t return_us;   /**< When it came back into service, 0 for never. */
     uint8_t is_out;       /**< Out of service or said to be leaving. */
     uint8_t says_leaving; /**< What the agent last said. */
@@ -297,9 +298,15 @@
                   const struct config *config, struct bytes whole,
                   struct bytes diff, int announce);
 
+/** Tell a process at once what this entry has applied. */
+void Ent_Acknowledge(struct entry *entry, struct now now, uint64_t to);
+
 /** True while this entry may start tasks. */
 int Ent_IsFresh(const struct entry *entry, struct now now);
 
+/** True when a majority of the registered entries vouched of late. */
+int Ent_HasMajority(const struct entry *entry, struct now now);
+
 /** True when a process has taken a change in. */
 int Ent_HasAcked(const struct ent_peer *peer, const struct ent_accept *accept);
 
--- a/core/src/config/apply.c
+++ b/core/src/config/apply.c
@@ -64,8 +64,7 @@
     if (op->name[0] == '\0') {
         return BAD(work, "the scope needs a name");
     }
-    int checked =
-        op->scope == CFG_REGION || op->scope == CFG_DATA_CENTRE;
+    int checked = op->scope == CFG_REGION || op->scope == CFG_DATA_CENTRE;
     if (checked && work->places &&
         !is_place(work->places, op->scope, op->name)) {
         return BAD(work, "unknown %s \"%s\"", Cfg_ScopeName(op->scope),
@@ -142,8 +141,7 @@
     drop_same(config, op, setting);
     if (config->exception_count == CFG_MAX_EXCEPTIONS) {
         return Err_Set(work->err, CODE_NO_MEMORY,
-                       "there are %d exceptions already",
-                       CFG_MAX_EXCEPTIONS);
+                       "there are %d exceptions already", CFG_MAX_EXCEPTIONS);
     }
     struct cfg_exception *made =
         &config->exceptions[config->exception_count++];
@@ -181,8 +179,8 @@
     }
     drop_same(work->config, op, POL_IN_SERVICE);
     if (work->config->exception_count == before) {
-        return BAD(work, "%s \"%s\" is not out",
-                   Cfg_ScopeName(op->scope), op->name);
+        return BAD(work, "%s \"%s\" is not out", Cfg_ScopeName(op->scope),
+                   op->name);
     }
     return 0;
 }
@@ -277,7 +275,8 @@
         struct cfg_subject subject = {0};
         memcpy(subject.region, places->items[i].region, WIRE_NAME_SIZE);
         memcpy(subject.dc, places->items[i].dc, WIRE_NAME_SIZE);
-        count += Cfg_Explain(config, &subject, POL_IN_SERVICE, wall).value != 0;
+        count +=
+            Cfg_Explain(config, &subject, POL_IN_SERVICE, wall).value != 0;
     }
     return count;
 }
--- a/core/src/entry/fresh.c
+++ b/core/src/entry/fresh.c
@@ -63,6 +63,13 @@
     return reached_by(times, count, registered / 2 + 1);
 }
 
+int
+Ent_HasMajority(const struct entry *entry, struct now now)
+{
+    uint64_t us = majority_us(entry, now);
+    return us != 0 && now.us - us < FRESH_US;
+}
+
 static void
 refresh(struct entry *entry, struct now now)
 {
@@ -105,6 +112,15 @@
     Act_Send(&entry->sink, peer->member.incarnation, &msg);
 }
 
+void
+Ent_Acknowledge(struct entry *entry, struct now now, uint64_t to)
+{
+    struct ent_peer *peer = Enti_FindPeer(entry, to);
+    if (peer) {
+        Enti_SendVersion(entry, now, peer);
+    }
+}
+
 /* The difference when that is all that is missing, else the whole. */
 static void
 push_config(struct entry *entry, struct now now, struct ent_peer *agent)
@@ -178,8 +194,10 @@
 int
 Ent_HasAcked(const struct ent_peer *peer, const struct ent_accept *accept)
 {
-    return peer->member.role == ROLE_ENTRY ? peer->members >= accept->rows
-                                           : peer->config >= accept->config;
+    if (peer->member.role == ROLE_ENTRY && peer->members < accept->rows) {
+        return 0;
+    }
+    return peer->config >= accept->config;
 }
 
 struct ent_acks
@@ -189,7 +207,9 @@
     struct ent_acks acks = {.entries = 1};
     uint32_t slot = 0;
     const struct ent_peer *peer;
-    acks.entries_acked = entry->version >= accept->rows;
+    int here = entry->version >= accept->rows &&
+               config_version(entry) >= accept->config;
+    acks.entries_acked = here != 0;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
         uint32_t acked = Ent_HasAcked(peer, accept) != 0;
         if (peer->member.role == ROLE_ENTRY) {
@@ -211,7 +231,6 @@
                now.us - entry->conf.lost_us > FRESH_US + FRESH_MARGIN_US);
     acks.lapsed = accept->majority_us != 0 &&
                   now.us - accept->majority_us > FRESH_US + FRESH_MARGIN_US;
-    acks.accepted = entry->version >= accept->rows && (all || acks.lapsed) &&
-                    accept->majority_us != 0;
+    acks.accepted = here && (all || acks.lapsed) && accept->majority_us != 0;
     return acks;
 }
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -98,6 +98,7 @@
         return;
     }
     peer->member = *member;
+    peer->met_us = now.us;
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
     Enti_ResolveAgent(entry, now, peer);
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent_config.h"
 #include "base/log.h"
 #include "daemon.h"
 #include "core/agent.h"
@@ -24,6 +25,7 @@
     struct store store;
     struct registry registry;
     struct agent core;
+    struct agent_config config;
     char upstream_addr[WIRE_ADDR_SIZE];
     struct loop_timer tick;
     struct loop_timer poll;
@@ -123,6 +125,10 @@
 on_message(void *context, const struct frame_head *head, const struct msg *msg)
 {
     struct agent_daemon *daemon = context;
+    if (msg->type == MSG_STATE && head->role == ROLE_ENTRY) {
+        AgentConfig_OnState(&daemon->config, Loop_Now(), &msg->u.state);
+        return;
+    }
     Ag_OnMessage(&daemon->core, Loop_Now(), head, msg);
 }
 
@@ -250,6 +256,7 @@
     struct agent_daemon *daemon = context;
     struct now now = Loop_Now();
     Ag_OnTick(&daemon->core, now);
+    AgentConfig_OnTick(&daemon->config, now);
     check_stop(daemon, now);
 }
 
@@ -284,7 +291,11 @@
         .incarnation = incarnation,
         .task_capacity = (uint32_t)settings->task_capacity,
         .key_lifetime_s = (uint32_t)settings->key_lifetime_s,
+        .check_fresh = 1,
     };
+    daemon->config.settings = settings;
+    daemon->config.core = &daemon->core;
+    daemon->config.counters = &daemon->counters;
     Key_Derive(&daemon->secret, settings->cluster_key);
     fill_head(&head, settings, incarnation);
     if (Ag_Init(&daemon->core, &core, sink, &daemon->counters)) {
--- /dev/null
+++ b/daemon/change.c
@@ -0,0 +1,457 @@
+/* A change of the configuration: read the newest, commit under
+ * compare-and-set, read back when the answer was lost, then wait until it is
+ * accepted. It is written at most once. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "control.h"
+
+/* Processes named in an answer. */
+#define NAMES_MAX 32
+
+static const char *const state_names[] = {
+    "free",      "queued",   "reading",   "committing",
+    "read back", "conflict", "committed", "accepted",
+};
+
+struct change *
+Change_New(struct control *control)
+{
+    struct change *oldest = NULL;
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        struct change *change = &control->changes[i];
+        int done = change->state >= CHANGE_READ_BACK && change->conn == 0;
+        if (change->state == CHANGE_FREE) {
+            oldest = change;
+            break;
+        }
+        if (done && (!oldest || change->order < oldest->order)) {
+            oldest = change;
+        }
+    }
+    if (oldest) {
+        memset(oldest, 0, sizeof(*oldest));
+        oldest->order = ++control->next_order;
+    }
+    return oldest;
+}
+
+struct change *
+Change_Find(struct control *control, const char *id)
+{
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        struct change *change = &control->changes[i];
+        if (change->state != CHANGE_FREE &&
+            strcmp(change->body.head.id, id) == 0) {
+            return change;
+        }
+    }
+    return NULL;
+}
+
+static json_t *
+write_lagging(const struct control *control, const struct ent_accept *accept)
+{
+    json_t *list = json_array();
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    while ((peer = Tab_Next(&control->core->peers, &slot))) {
+        if (!Ent_HasAcked(peer, accept) && json_array_size(list) < NAMES_MAX) {
+            json_array_append_new(list, json_string(peer->member.node));
+        }
+    }
+    return list;
+}
+
+static json_t *
+write_acks(const struct control *control, struct change *change)
+{
+    struct ent_acks acks =
+        Ent_CheckAccept(control->core, Loop_Now(), &change->accept);
+    json_t *root =
+        json_pack("{s:{s:i,s:i},s:{s:i,s:i},s:b,s:o}", "entries", "registered",
+                  (int)acks.entries, "acknowledged", (int)acks.entries_acked,
+                  "agents", "registered", (int)acks.agents, "acknowledged",
+                  (int)acks.agents_acked, "others_lapsed", (int)acks.lapsed,
+                  "not_acknowledged", write_lagging(control, &change->accept));
+    return root;
+}
+
+json_t *
+Change_Write(const struct control *control, struct change *change)
+{
+    json_t *root =
+        json_pack("{s:s,s:s,s:s}", "state", state_names[change->state], "id",
+                  change->body.head.id, "author", change->body.head.author);
+    if (change->state >= CHANGE_COMMITTED) {
+        json_object_set_new(root, "version",
+                            json_integer((json_int_t)change->accept.config));
+        json_object_update_new(root, write_acks(control, change));
+    }
+    if (change->state == CHANGE_ACCEPTED) {
+        uint64_t took_us = change->accepted_us - change->begun_us;
+        json_object_set_new(root, "took_ms",
+                            json_integer((json_int_t)(took_us / US_PER_MS)));
+    }
+    return root;
+}
+
+static void
+reply(struct control *control, struct change *change, enum code code,
+      json_t *root)
+{
+    if (change->conn) {
+        Admin_Reply(control, change->conn, code, root);
+        change->conn = 0;
+    }
+    else {
+        json_decref(root);
+    }
+}
+
+static void begin_next(struct control *control);
+
+/* Forget a change that had no effect. */
+static void
+drop(struct control *control, struct change *change)
+{
+    change->conn = 0;
+    change->state = CHANGE_FREE;
+    if (control->active == change) {
+        control->active = NULL;
+        begin_next(control);
+    }
+}
+
+static void
+refuse(struct control *control, struct change *change, enum code code,
+       const char *detail)
+{
+    if (change->conn) {
+        Admin_Refuse(control, change->conn, code, detail);
+    }
+    drop(control, change);
+}
+
+static void
+refuse_conflict(struct control *control, struct change *change)
+{
+    const struct cfg_change *last = &control->config.last;
+    char text[128];
+    snprintf(text, sizeof(text), "change %s by %s at %lld, version %llu",
+             last->id, last->author, (long long)last->time_s,
+             (unsigned long long)control->config.version);
+    CTR_INC(control->counters, config_conflicts);
+    refuse(control, change, CODE_CONFLICT, text);
+}
+
+static void
+on_plain_read(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    if (result->code == CODE_OK) {
+        /* When it was asked is not kept here: it counts for nothing. */
+        Rows_OnRead(control, result->body, 0);
+        Rows_Relay(control, 1);
+    }
+}
+
+static void
+set_committed(struct control *control, struct change *change, uint64_t rows,
+              uint64_t config)
+{
+    change->state = CHANGE_COMMITTED;
+    change->accept.rows = rows;
+    change->accept.config = config;
+    change->accept.commit_us = Loop_Now().us;
+    if (control->active == change) {
+        control->active = NULL;
+    }
+    CTR_INC(control->counters, config_changes);
+    Store_Read(control->store, control->core->version, on_plain_read, control);
+    begin_next(control);
+}
+
+static void
+on_conflict_read(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    struct change *change = control->active;
+    if (result->code == CODE_OK) {
+        Rows_OnRead(control, result->body, 0);
+    }
+    if (change && change->state == CHANGE_LOST) {
+        refuse_conflict(control, change);
+    }
+}
+
+static void
+on_commit(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    struct change *change = control->active;
+    if (!change || change->state != CHANGE_COMMITTING) {
+        return;
+    }
+    if (result->code == CODE_OK) {
+        set_committed(control, change,
+                      (uint64_t)json_integer_value(
+                          json_object_get(result->body, "version")),
+                      change->accept.config);
+    }
+    else if (result->code == CODE_CONFLICT) {
+        change->state = CHANGE_LOST;
+        Store_Read(control->store, control->core->version, on_conflict_read,
+                   control);
+    }
+    else {
+        /* It may still take effect, until its row moves on: it does not
+         * hold up the next one. */
+        change->state = CHANGE_READ_BACK;
+        change->sent_us = Loop_Now().us;
+        control->active = NULL;
+        begin_next(control);
+    }
+}
+
+static json_t *
+write_history(const struct control *control, const struct change *change,
+              uint64_t version)
+{
+    json_t *old = Rows_Value(control, ROW_HISTORY);
+    json_t *list = json_is_array(old) ? json_copy(old) : json_array();
+    json_array_append_new(list, Cj_WriteChange(&change->body, version));
+    while (json_array_size(list) > HISTORY_MAX) {
+        json_array_remove(list, 0);
+    }
+    return list;
+}
+
+static void
+commit(struct control *control, struct change *change,
+       const struct config *after)
+{
+    change->row_version = Rows_Version(control, ROW_CONFIG);
+    change->accept.config = after->version;
+    change->state = CHANGE_COMMITTING;
+    json_t *root = json_pack(
+        "{s:[{s:s,s:I}],s:[{s:s,s:o},{s:s,s:o}]}", "checks", "key", ROW_CONFIG,
+        "version", (json_int_t)change->row_version, "writes", "key",
+        ROW_CONFIG, "value", Cj_Write(after, 1), "key", ROW_HISTORY, "value",
+        write_history(control, change, after->version));
+    Store_Commit(control->store, root, on_commit, control);
+    json_decref(root);
+}
+
+static void
+add_place(struct cfg_places *places, const char *region, const char *dc)
+{
+    for (uint32_t i = 0; i < places->count; i++) {
+        if (strcmp(places->items[i].dc, dc) == 0) {
+            return;
+        }
+    }
+    if (places->count < CFG_MAX_PLACES) {
+        struct cfg_place *place = &places->items[places->count++];
+        memcpy(place->region, region, WIRE_NAME_SIZE);
+        memcpy(place->dc, dc, WIRE_NAME_SIZE);
+    }
+}
+
+static void
+list_places(const struct control *control, struct cfg_places *places)
+{
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    add_place(places, control->settings->region,
+              control->settings->data_centre);
+    while ((peer = Tab_Next(&control->core->peers, &slot))) {
+        add_place(places, peer->member.region, peer->member.dc);
+    }
+}
+
+static int
+check_if_version(const struct control *control, const struct change *change,
+                 struct err *err)
+{
+    if (change->if_version > control->config.version) {
+        return Err_Set(err, CODE_BAD_FIELD,
+                       "if_version: version %llu lies in the future, %llu is "
+                       "in force",
+                       (unsigned long long)change->if_version,
+                       (unsigned long long)control->config.version);
+    }
+    return 0;
+}
+
+static void
+make(struct control *control, struct change *change)
+{
+    struct cfg_places places = {.force = change->force};
+    struct err err = {0};
+    list_places(control, &places);
+    control->scratch = control->config;
+    if (change->if_version && change->if_version < control->config.version) {
+        refuse_conflict(control, change);
+        return;
+    }
+    if (check_if_version(control, change, &err) ||
+        Cfg_Apply(&control->scratch, &change->body.head, change->body.ops,
+                  change->body.count, &places, &err)) {
+        refuse(control, change, err.code, err.text);
+        return;
+    }
+    if (change->dry_run) {
+        json_t *root =
+            json_pack("{s:s,s:I,s:o}", "state", "dry run", "version",
+                      (json_int_t)control->config.version, "difference",
+                      Cj_WriteDifference(&control->config, &control->scratch));
+        reply(control, change, CODE_OK, root);
+        drop(control, change);
+        return;
+    }
+    commit(control, change, &control->scratch);
+}
+
+static void
+adopt(struct control *control, struct change *change, const json_t *item)
+{
+    CTR_INC(control->counters, config_read_back);
+    set_committed(
+        control, change, Rows_Version(control, ROW_HISTORY),
+        (uint64_t)json_integer_value(json_object_get(item, "version")));
+}
+
+static void
+on_first_read(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    struct change *change = control->active;
+    if (!change || change->state != CHANGE_READING) {
+        return;
+    }
+    if (result->code != CODE_OK) {
+        refuse(control, change, CODE_STORE_DOWN, NULL);
+        return;
+    }
+    Rows_OnRead(control, result->body, change->sent_us);
+    if (!control->registry->registered || control->core->version == 0) {
+        refuse(control, change, CODE_NOT_FRESH, NULL);
+        return;
+    }
+    const json_t *known = Rows_FindChange(control, change->body.head.id);
+    if (known) {
+        adopt(control, change, known);
+        return;
+    }
+    make(control, change);
+}
+
+static void
+begin_next(struct control *control)
+{
+    struct change *next = NULL;
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        struct change *change = &control->changes[i];
+        if (change->state == CHANGE_QUEUED &&
+            (!next || change->order < next->order)) {
+            next = change;
+        }
+    }
+    if (control->active || !next) {
+        return;
+    }
+    control->active = next;
+    next->state = CHANGE_READING;
+    next->sent_us = Loop_Now().us;
+    Store_Read(control->store, control->core->version, on_first_read, control);
+}
+
+void
+Change_Begin(struct control *control, struct change *change)
+{
+    change->state = CHANGE_QUEUED;
+    change->begun_us = Loop_Now().us;
+    begin_next(control);
+}
+
+/* A lost answer is settled by reading: either the change is there, or its
+ * row has moved on and it can no longer take effect. */
+static void
+read_back(struct control *control, struct change *change)
+{
+    const json_t *item = Rows_FindChange(control, change->body.head.id);
+    if (item) {
+        adopt(control, change, item);
+    }
+    else if (Rows_Version(control, ROW_CONFIG) != change->row_version) {
+        refuse_conflict(control, change);
+    }
+}
+
+void
+Change_OnRead(struct control *control, uint64_t asked_us)
+{
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        struct change *change = &control->changes[i];
+        if (change->state == CHANGE_READ_BACK && asked_us >= change->sent_us) {
+            read_back(control, change);
+        }
+    }
+}
+
+static void
+on_late(struct control *control, struct change *change)
+{
+    json_t *root = Change_Write(control, change);
+    json_object_set_new(root, "code", json_integer(CODE_NOT_ACCEPTED));
+    json_object_set_new(root, "text",
+                        json_string(Code_Text(CODE_NOT_ACCEPTED)));
+    if (change->state != CHANGE_COMMITTED) {
+        json_object_set_new(
+            root, "detail",
+            json_string("not known whether it was committed; it is not "
+                        "written again; ask for its id"));
+    }
+    reply(control, change, CODE_NOT_ACCEPTED, root);
+}
+
+static void
+look_after(struct control *control, struct change *change, struct now now)
+{
+    if (change->state == CHANGE_COMMITTED) {
+        struct ent_acks acks =
+            Ent_CheckAccept(control->core, now, &change->accept);
+        if (!change->announced &&
+            control->core->version >= change->accept.rows) {
+            change->announced = 1;
+            Rows_Relay(control, 1);
+        }
+        if (acks.accepted) {
+            change->state = CHANGE_ACCEPTED;
+            change->accepted_us = now.us;
+            reply(control, change, CODE_OK, Change_Write(control, change));
+        }
+    }
+    if (change->conn == 0 || now.us < change->deadline_us) {
+        return;
+    }
+    if (change->state == CHANGE_QUEUED || change->state == CHANGE_READING) {
+        refuse(control, change, CODE_STORE_DOWN, NULL);
+    }
+    else if (change->state != CHANGE_ACCEPTED) {
+        on_late(control, change);
+    }
+}
+
+void
+Change_OnTick(struct control *control, struct now now)
+{
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        if (control->changes[i].state != CHANGE_FREE) {
+            look_after(control, &control->changes[i], now);
+        }
+    }
+}
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "control.h"
 #include "daemon.h"
 #include "shell/api.h"
 #include "shell/httpd.h"
@@ -24,6 +25,8 @@
     struct loop_timer tick;
     struct loop_timer poll;
     int polling;
+    uint64_t polled_us; /* When the read under way was sent. */
+    struct control control;
     uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
 };
 
@@ -99,6 +102,10 @@
 on_message(void *context, const struct frame_head *head, const struct msg *msg)
 {
     struct entry_daemon *daemon = context;
+    if (msg->type == MSG_STATE) {
+        Rows_OnState(&daemon->control, head, &msg->u.state);
+        return;
+    }
     Ent_OnMessage(&daemon->core, Loop_Now(), head, msg);
 }
 
@@ -159,6 +166,13 @@
         return;
     }
     job.sub.key = key;
+    if (Token_CheckTeam(&daemon->control, request->token, job.sub.team,
+                        sizeof(job.sub.team))) {
+        Api_FreeJob(&job);
+        CTR_INC(&daemon->counters, tokens_refused);
+        reply_error(daemon, request->conn, CODE_BAD_TOKEN, NULL);
+        return;
+    }
     if (job.wait) {
         Ent_OnSubmit(&daemon->core, Loop_Now(), request->conn, &job.sub);
     }
@@ -216,13 +230,39 @@
     }
 }
 
+static int
+is_callers(const char *path)
+{
+    return strcmp(path, "/v1/keys") == 0 ||
+           strncmp(path, "/v1/jobs", strlen("/v1/jobs")) == 0 ||
+           strncmp(path, "/v1/requests", strlen("/v1/requests")) == 0;
+}
+
+/* Any team's token will do here; a submission is held to its team. */
+static int
+check_caller(struct entry_daemon *daemon, const struct hs_request *request)
+{
+    char team[WIRE_NAME_SIZE] = "";
+    if (Token_CheckTeam(&daemon->control, request->token, team,
+                        sizeof(team)) == 0) {
+        return 0;
+    }
+    CTR_INC(&daemon->counters, tokens_refused);
+    reply_error(daemon, request->conn, CODE_BAD_TOKEN, NULL);
+    return -1;
+}
+
 static void
 on_request(void *context, const struct hs_request *request)
 {
     static const char jobs[] = "/v1/jobs/";
+    static const char admin[] = "/v1/admin/";
     struct entry_daemon *daemon = context;
     const char *path = request->path;
     enum hs_method method = request->method;
+    if (is_callers(path) && check_caller(daemon, request)) {
+        return;
+    }
     if (method == HS_POST && strcmp(path, "/v1/keys") == 0) {
         issue_keys(daemon, request);
     }
@@ -236,6 +276,9 @@
              strncmp(path, jobs, sizeof(jobs) - 1) == 0) {
         ask(daemon, request, path + sizeof(jobs) - 1);
     }
+    else if (strncmp(path, admin, sizeof(admin) - 1) == 0) {
+        Admin_OnRequest(&daemon->control, request);
+    }
     else if (method == HS_GET && strcmp(path, "/metrics") == 0) {
         reply_counters(daemon, request->conn);
     }
@@ -247,49 +290,13 @@
     }
 }
 
-static void
-apply_row(struct entry_daemon *daemon, const json_t *row)
-{
-    struct ent_member member;
-    const char *key = json_string_value(json_object_get(row, "key"));
-    const json_t *value = json_object_get(row, "value");
-    uint64_t version =
-        (uint64_t)json_integer_value(json_object_get(row, "version"));
-    if (!key || strncmp(key, REG_PREFIX, strlen(REG_PREFIX)) != 0) {
-        return;
-    }
-    if (json_is_null(value)) {
-        Ent_OnMemberGone(&daemon->core, Loop_Now(), key + strlen(REG_PREFIX),
-                         version);
-    }
-    else if (Reg_ReadMember(&member, key, value, version) == 0) {
-        Ent_OnMember(&daemon->core, Loop_Now(), &member);
-    }
-    else {
-        CTR_INC(&daemon->counters, config_corrupt);
-        LOG_ERROR("registry", "Row %s at version %llu is not valid.", key,
-                  (unsigned long long)version);
-    }
-}
-
 static void
 on_rows(void *context, const struct store_result *result)
 {
     struct entry_daemon *daemon = context;
-    size_t i;
-    json_t *row;
     daemon->polling = 0;
-    if (result->code != CODE_OK) {
-        return;
-    }
-    json_array_foreach(json_object_get(result->body, "rows"), i, row)
-    {
-        apply_row(daemon, row);
-    }
-    uint64_t version =
-        (uint64_t)json_integer_value(json_object_get(result->body, "version"));
-    if (daemon->registry.registered) {
-        Ent_OnVersion(&daemon->core, Loop_Now(), version);
+    if (result->code == CODE_OK) {
+        Rows_OnRead(&daemon->control, result->body, daemon->polled_us);
     }
 }
 
@@ -302,6 +309,7 @@
     }
     else if (!daemon->polling) {
         daemon->polling = 1;
+        daemon->polled_us = Loop_Now().us;
         Store_Read(&daemon->store, daemon->core.version, on_rows, daemon);
     }
 }
@@ -340,6 +348,7 @@
     struct entry_daemon *daemon = context;
     struct now now = Loop_Now();
     Ent_OnTick(&daemon->core, now);
+    Control_OnTick(&daemon->control, now);
     check_stop(daemon, now);
 }
 
@@ -371,6 +380,7 @@
         .job_capacity = (uint32_t)daemon->settings->job_capacity,
         .peer_capacity = (uint32_t)daemon->settings->member_capacity,
         .key_lifetime_s = (uint32_t)daemon->settings->key_lifetime_s,
+        .check_fresh = 1,
     };
     memcpy(core.dc, daemon->settings->data_centre, sizeof(core.dc));
     randombytes_buf(core.seed, sizeof(core.seed));
@@ -380,6 +390,23 @@
     return 0;
 }
 
+static int
+start_control(struct entry_daemon *daemon, struct err *err)
+{
+    struct control *control = &daemon->control;
+    control->settings = daemon->settings;
+    control->store = &daemon->store;
+    control->links = &daemon->links;
+    control->httpd = &daemon->httpd;
+    control->core = &daemon->core;
+    control->registry = &daemon->registry;
+    control->counters = &daemon->counters;
+    if (Control_Init(control, Loop_Now())) {
+        return Err_Set(err, CODE_NO_MEMORY, "no memory for the rows");
+    }
+    return 0;
+}
+
 static int
 start(struct entry_daemon *daemon, struct err *err)
 {
@@ -404,6 +431,9 @@
     }
     Reg_Init(&daemon->registry, &daemon->store, settings, incarnation,
              on_registered, daemon);
+    if (start_control(daemon, err)) {
+        return -1;
+    }
     Loop_OnFlush(&daemon->loop, on_flush, daemon);
     Loop_Every(&daemon->loop, &daemon->tick, TICK_US, on_tick, daemon);
     Loop_Every(&daemon->loop, &daemon->poll, POLL_US / 4, on_poll, daemon);
@@ -428,5 +458,6 @@
     Hs_Finish(&daemon.httpd);
     Store_Finish(&daemon.store);
     Ent_Finish(&daemon.core);
+    Control_Finish(&daemon.control);
     return 0;
 }
--- /dev/null
+++ b/daemon/forget.c
@@ -0,0 +1,70 @@
+/* Members that are gone for good are removed from the registry. */
+#include <stdio.h>
+
+#include "base/log.h"
+#include "control.h"
+
+#define FORGET_INTERVAL_US (1 * US_PER_S)
+
+static void
+on_forgotten(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    control->forgetting = 0;
+    if (result->code == CODE_OK) {
+        CTR_INC(control->counters, members_forgotten);
+    }
+}
+
+void
+Forget_Member(struct control *control, const char *node, store_done *done,
+              void *context)
+{
+    char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    snprintf(key, sizeof(key), REG_PREFIX "%s", node);
+    json_t *change = json_pack(
+        "{s:[{s:s,s:I}],s:[{s:s,s:n}]}", "checks", "key", key, "version",
+        (json_int_t)Rows_Version(control, key), "writes", "key", key, "value");
+    Store_Commit(control->store, change, done, context);
+    json_decref(change);
+}
+
+/* A member is counted as silent only while this entry itself has reached the
+ * table service all along: an outage or a pause here is no sign of death. */
+static int
+is_gone(const struct control *control, struct now now,
+        const struct ent_peer *peer)
+{
+    uint64_t limit_us =
+        (uint64_t)control->settings->forget_member_s * US_PER_S;
+    uint64_t since_us = control->up_since_us;
+    if (peer->heard_us > since_us) {
+        since_us = peer->heard_us;
+    }
+    if (peer->met_us > since_us) {
+        since_us = peer->met_us;
+    }
+    return now.us - since_us > limit_us;
+}
+
+void
+Forget_OnTick(struct control *control, struct now now)
+{
+    uint32_t slot = 0;
+    struct ent_peer *peer;
+    if (now.us < control->next_forget_us || control->forgetting ||
+        !Ent_HasMajority(control->core, now) ||
+        now.us - control->read_us > FRESH_US) {
+        return;
+    }
+    control->next_forget_us = now.us + FORGET_INTERVAL_US;
+    while ((peer = Tab_Next(&control->core->peers, &slot))) {
+        if (is_gone(control, now, peer)) {
+            LOG_INFO("registry", "Removing %s, silent for too long.",
+                     peer->member.node);
+            control->forgetting = 1;
+            Forget_Member(control, peer->member.node, on_forgotten, control);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/rows.c
@@ -0,0 +1,285 @@
+/* Rows of the table service as this entry knows them: read there, or sent by
+ * an entry that knows more. A row never goes back to an older version. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "control.h"
+
+/* Entries that lag are sent rows this long after they came in here. */
+#define RELAY_DELAY_US (300 * US_PER_MS)
+
+static json_t *
+find_row(const struct control *control, const char *key)
+{
+    return json_object_get(control->rows, key);
+}
+
+uint64_t
+Rows_Version(const struct control *control, const char *key)
+{
+    return (uint64_t)json_integer_value(
+        json_object_get(find_row(control, key), "version"));
+}
+
+json_t *
+Rows_Value(const struct control *control, const char *key)
+{
+    json_t *value = json_object_get(find_row(control, key), "value");
+    return json_is_null(value) ? NULL : value;
+}
+
+json_t *
+Rows_FindChange(const struct control *control, const char *id)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(Rows_Value(control, ROW_HISTORY), i, item)
+    {
+        const char *found = json_string_value(json_object_get(item, "id"));
+        if (found && strcmp(found, id) == 0) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+static void
+check_own(struct control *control, const char *node,
+          const struct ent_member *member, uint64_t version)
+{
+    const struct registry *registry = control->registry;
+    if (strcmp(node, control->settings->node) != 0 || !registry->registered ||
+        version <= registry->registered ||
+        (member && member->incarnation == registry->incarnation)) {
+        return;
+    }
+    if (!control->core->conf.superseded) {
+        LOG_ERROR("registry", "Own row %s was replaced or removed.", node);
+    }
+    control->core->conf.superseded = 1;
+}
+
+static void
+apply_member(struct control *control, const json_t *row, const char *key)
+{
+    struct ent_member member;
+    const char *node = key + strlen(REG_PREFIX);
+    const json_t *value = json_object_get(row, "value");
+    uint64_t version =
+        (uint64_t)json_integer_value(json_object_get(row, "version"));
+    if (json_is_null(value)) {
+        check_own(control, node, NULL, version);
+        Ent_OnMemberGone(control->core, Loop_Now(), node, version);
+    }
+    else if (Reg_ReadMember(&member, key, value, version) == 0) {
+        check_own(control, node, &member, version);
+        Ent_OnMember(control->core, Loop_Now(), &member);
+    }
+    else {
+        CTR_INC(control->counters, config_corrupt);
+        LOG_ERROR("registry", "Row %s at version %llu is not valid.", key,
+                  (unsigned long long)version);
+    }
+}
+
+static void
+write_texts(struct control *control)
+{
+    json_t *root = Cj_Write(&control->config, 1);
+    json_t *history = Rows_Value(control, ROW_HISTORY);
+    size_t count = json_array_size(history);
+    const json_t *last = count ? json_array_get(history, count - 1) : NULL;
+    free(control->whole);
+    free(control->diff);
+    control->whole = json_dumps(root, JSON_COMPACT);
+    control->diff = NULL;
+    if ((uint64_t)json_integer_value(json_object_get(last, "version")) ==
+        control->config.version) {
+        control->diff = json_dumps(last, JSON_COMPACT);
+    }
+    json_decref(root);
+}
+
+static struct bytes
+as_bytes(const char *text)
+{
+    return (struct bytes){text, text ? (uint32_t)strlen(text) : 0};
+}
+
+static int
+is_announcing(const struct control *control)
+{
+    for (int i = 0; i < CHANGE_MAX; i++) {
+        const struct change *change = &control->changes[i];
+        if (change->state >= CHANGE_COMMITTING &&
+            change->state <= CHANGE_COMMITTED && !change->announced) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+apply_config(struct control *control)
+{
+    struct err err = {0};
+    if (Cj_Read(&control->scratch, Rows_Value(control, ROW_CONFIG), &err)) {
+        CTR_INC(control->counters, config_corrupt);
+        LOG_ERROR("config",
+                  "Row " ROW_CONFIG " is not valid: %s. Version "
+                  "%llu stays in force.",
+                  err.text, (unsigned long long)control->config.version);
+        return;
+    }
+    if (control->scratch.version <= control->config.version) {
+        CTR_INC(control->counters, config_corrupt);
+        LOG_ERROR("config", "Version %llu is older than %llu; kept out.",
+                  (unsigned long long)control->scratch.version,
+                  (unsigned long long)control->config.version);
+        return;
+    }
+    control->config = control->scratch;
+    control->next_expiry_s = Cfg_NextExpiry(&control->config, Loop_Now().wall);
+    write_texts(control);
+    LOG_INFO("config", "Version %llu by %s is in force here.",
+             (unsigned long long)control->config.version,
+             control->config.last.author);
+    Ent_OnConfig(control->core, Loop_Now(), &control->config,
+                 as_bytes(control->whole), as_bytes(control->diff),
+                 is_announcing(control));
+}
+
+/* Returns 1 when the row is newer than the known one. */
+static int
+take_row(struct control *control, json_t *row)
+{
+    const char *key = json_string_value(json_object_get(row, "key"));
+    json_int_t version = json_integer_value(json_object_get(row, "version"));
+    if (!key || !json_object_get(row, "value") || version <= 0 ||
+        (uint64_t)version <= Rows_Version(control, key)) {
+        return 0;
+    }
+    json_object_set(control->rows, key, row);
+    return 1;
+}
+
+static void
+apply_rows(struct control *control, const json_t *list)
+{
+    size_t i;
+    json_t *row;
+    int has_config = 0;
+    json_array_foreach(list, i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+        if (!take_row(control, row)) {
+            continue;
+        }
+        control->rows_us = Loop_Now().us;
+        if (strncmp(key, REG_PREFIX, strlen(REG_PREFIX)) == 0) {
+            apply_member(control, row, key);
+        }
+        has_config |= strcmp(key, ROW_CONFIG) == 0;
+    }
+    if (has_config) {
+        apply_config(control);
+    }
+}
+
+static void
+note_up(struct control *control, struct now now)
+{
+    if (now.us - control->read_us > 10 * US_PER_S) {
+        control->up_since_us = now.us;
+    }
+    control->read_us = now.us;
+}
+
+void
+Rows_OnRead(struct control *control, const json_t *body, uint64_t asked_us)
+{
+    struct now now = Loop_Now();
+    uint64_t version =
+        (uint64_t)json_integer_value(json_object_get(body, "version"));
+    apply_rows(control, json_object_get(body, "rows"));
+    note_up(control, now);
+    if (!control->registry->registered) {
+        return;
+    }
+    /* An answer below what is known here was long on its way. */
+    if (version >= control->core->version) {
+        Ent_OnVersion(control->core, now, version);
+        Ent_OnRead(control->core, now, asked_us);
+    }
+    Change_OnRead(control, asked_us);
+}
+
+void
+Rows_OnState(struct control *control, const struct frame_head *head,
+             const struct msg_state *state)
+{
+    json_t *root = json_loadb(state->rows.size ? state->rows.data : "",
+                              state->rows.size, 0, NULL);
+    uint64_t since =
+        (uint64_t)json_integer_value(json_object_get(root, "since"));
+    if (head->role == ROLE_ENTRY && json_object_get(root, "since") &&
+        since <= control->core->version && control->core->version) {
+        apply_rows(control, json_object_get(root, "rows"));
+        Ent_OnVersion(control->core, Loop_Now(), state->version);
+        Ent_Acknowledge(control->core, Loop_Now(), head->from);
+    }
+    json_decref(root);
+}
+
+static char *
+write_since(const struct control *control, uint64_t since)
+{
+    json_t *list = json_array();
+    const char *key;
+    json_t *row;
+    json_object_foreach(control->rows, key, row)
+    {
+        json_int_t version =
+            json_integer_value(json_object_get(row, "version"));
+        if ((uint64_t)version > since) {
+            json_array_append(list, row);
+        }
+    }
+    json_t *root =
+        json_pack("{s:I,s:o}", "since", (json_int_t)since, "rows", list);
+    char *text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return text;
+}
+
+static void
+relay_to(struct control *control, struct ent_peer *peer, struct now now)
+{
+    struct msg msg = {.type = MSG_STATE};
+    char *text = write_since(control, peer->members);
+    msg.u.state.version = control->core->version;
+    msg.u.state.rows = as_bytes(text);
+    peer->push_us = now.us;
+    CTR_INC(control->counters, config_pushed);
+    Link_Send(control->links, peer->member.incarnation, &msg);
+    free(text);
+}
+
+void
+Rows_Relay(struct control *control, int at_once)
+{
+    struct now now = Loop_Now();
+    uint32_t slot = 0;
+    struct ent_peer *peer;
+    if (!at_once && now.us - control->rows_us < RELAY_DELAY_US) {
+        return;
+    }
+    while ((peer = Tab_Next(&control->core->peers, &slot))) {
+        int due = at_once || now.us - peer->push_us >= RELAY_DELAY_US;
+        if (peer->member.role == ROLE_ENTRY && peer->members != 0 &&
+            peer->members < control->core->version && due) {
+            relay_to(control, peer, now);
+        }
+    }
+}
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -12,6 +12,8 @@
 
 /** Room for a file name or a passphrase. */
 #define SET_TEXT_SIZE 256
+/** Room for the operators' names and token hashes. */
+#define SET_HASHES_SIZE 4096
 
 /** Settings of one process. */
 struct settings {
@@ -26,12 +28,14 @@
     char cluster_key[SET_TEXT_SIZE];
     char tls_certificate[SET_TEXT_SIZE];
     char tls_key[SET_TEXT_SIZE];
+    char operator_token_hashes[SET_HASHES_SIZE];
     char log_level[WIRE_NAME_SIZE];
     int64_t key_lifetime_s;
     int64_t job_capacity;
     int64_t task_capacity;
     int64_t member_capacity;
     int64_t stop_limit_s;
+    int64_t forget_member_s;
 };
 
 /** Read and check a settings file. The error names the path of the setting,
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -45,6 +45,8 @@
         copy_name(incarnation, sizeof(incarnation), value, "incarnation")) {
         return -1;
     }
+    copy_name(member->region, sizeof(member->region), value, "region");
+    copy_name(member->rack, sizeof(member->rack), value, "rack");
     member->role = strcmp(role, "entry") == 0 ? ROLE_ENTRY : ROLE_AGENT;
     member->incarnation = strtoull(incarnation, NULL, 16);
     member->registered = version;
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -47,6 +47,9 @@
      0, "", NULL, "certificate file; \"\" for plain HTTP"},
     {"tls_key", KIND_TEXT, AT(tls_key), 0, SET_TEXT_SIZE - 1, 0, "", NULL,
      "private key file of the certificate"},
+    {"operator_token_hashes", KIND_TEXT, AT(operator_token_hashes), 0,
+     SET_HASHES_SIZE - 1, 0, "", NULL,
+     "operators as name:hash,name:hash; jacinthpick token makes them"},
     {"log_level", KIND_WORD, AT(log_level), 1, WIRE_NAME_SIZE - 1, 0, "info",
      "error|warn|info|debug", "least severe lines that are logged"},
     {"key_lifetime_s", KIND_INT, AT(key_lifetime_s), 1, 86400, 300, NULL, NULL,
@@ -59,6 +62,8 @@
      NULL, "processes that an entry knows at once"},
     {"stop_limit_s", KIND_INT, AT(stop_limit_s), 0, 86400, 60, NULL, NULL,
      "seconds that a graceful stop may take"},
+    {"forget_member_s", KIND_INT, AT(forget_member_s), 5, 604800, 7200, NULL,
+     NULL, "seconds of silence after which a dead member is removed"},
 };
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
