--- a/cli/main.c
+++ b/cli/main.c
@@ -2,17 +2,14 @@
 #include <getopt.h>
 #include <jansson.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
-#include "shell/httpc.h"
+#include "client.h"
 
-#define EXIT_FAILED 1
-#define EXIT_USAGE 2
-#define EXIT_REFUSED 3
-#define EXIT_UNREACHABLE 4
 #define CALL_TIMEOUT_MS 3700000
 #define SHORT_TIMEOUT_MS 10000
 
@@ -30,12 +27,36 @@
     "Commands for operators:\n"
     "  health                is the entry serving?\n"
     "  counters              print the process's counters\n"
+    "  status                members and how fresh the entry is\n"
+    "  defaults [show]       show all settings with their ranges\n"
+    "  defaults set SETTING VALUE | defaults reset SETTING\n"
+    "  exceptions [list]     show defaults, exceptions and teams\n"
+    "  exceptions add SCOPE NAME SETTING VALUE --reason TEXT\n"
+    "  exceptions remove ID\n"
+    "  data-centre out NAME --reason TEXT | data-centre in NAME\n"
+    "  region out NAME --reason TEXT | region in NAME\n"
+    "  upstream drain NODE --reason TEXT | upstream return NODE\n"
+    "  team set NAME QUOTA [--token-hash HASH] | team remove NAME\n"
+    "  explain [SETTING] [SCOPE=NAME]...   values in force, and why\n"
+    "  history               show the latest changes\n"
+    "  change ID             show where a change stands\n"
+    "  member forget NODE    remove a dead member\n"
+    "  token                 make a token and its hash\n"
     "\n"
     "Options:\n"
     "  -e, --entry ADDR      entry to talk to, ip:port "
     "(127.0.0.1:8080)\n"
     "  -t, --token TOKEN     bearer token (or JACINTHPICK_TOKEN)\n"
     "      --tls             use TLS\n"
+    "      --reason TEXT     why the exception is made\n"
+    "      --expires-in S    the exception ends after S seconds\n"
+    "      --dry-run         show the difference, change nothing\n"
+    "      --force           also take the last data centre out\n"
+    "      --if-version N    only on top of version N\n"
+    "      --id ID           id of the change, to ask for it again\n"
+    "      --timeout S       wait S seconds for it to be accepted\n"
+    "      --token-hash HASH hash of the team's token\n"
+    "      --json            print JSON in place of tables\n"
     "  -h, --help            print this and exit\n"
     "  -V, --version         print the version and exit\n"
     "\n"
@@ -46,21 +67,20 @@
     {"entry", required_argument, NULL, 'e'},
     {"token", required_argument, NULL, 't'},
     {"tls", no_argument, NULL, 'T'},
+    {"reason", required_argument, NULL, 'r'},
+    {"expires-in", required_argument, NULL, 'x'},
+    {"dry-run", no_argument, NULL, 'd'},
+    {"force", no_argument, NULL, 'f'},
+    {"if-version", required_argument, NULL, 'v'},
+    {"id", required_argument, NULL, 'i'},
+    {"timeout", required_argument, NULL, 'w'},
+    {"token-hash", required_argument, NULL, 'H'},
+    {"json", no_argument, NULL, 'j'},
     {"help", no_argument, NULL, 'h'},
     {"version", no_argument, NULL, 'V'},
     {NULL, 0, NULL, 0},
 };
 
-struct client {
-    struct loop loop;
-    struct httpc http;
-    const char *entry;
-    const char *token;
-    int tls;
-    int exit_code;
-    int is_keys;
-};
-
 static int
 exit_code_of(const struct hc_result *result)
 {
@@ -102,6 +122,9 @@
     else if (client->is_keys && result->status == 200) {
         print_keys(result);
     }
+    else if (client->is_table) {
+        Table_Print(result->body.data, result->body.size);
+    }
     else {
         fwrite(result->body.data, 1, result->body.size, stdout);
         putchar('\n');
@@ -109,8 +132,8 @@
     Loop_Stop(&client->loop);
 }
 
-static int
-call(struct client *client, struct hc_call *http)
+int
+Client_Call(struct client *client, struct hc_call *http)
 {
     struct err err = {0};
     signal(SIGPIPE, SIG_IGN);
@@ -189,7 +212,7 @@
         .key = key,
         .timeout_ms = CALL_TIMEOUT_MS,
     };
-    int code = call(client, &http);
+    int code = Client_Call(client, &http);
     free(text);
     return code;
 }
@@ -205,7 +228,7 @@
         .path = path,
         .timeout_ms = CALL_TIMEOUT_MS,
     };
-    return call(client, &http);
+    return Client_Call(client, &http);
 }
 
 static int
@@ -216,7 +239,7 @@
         .path = path,
         .timeout_ms = SHORT_TIMEOUT_MS,
     };
-    return call(client, &http);
+    return Client_Call(client, &http);
 }
 
 static int
@@ -232,7 +255,7 @@
         .timeout_ms = SHORT_TIMEOUT_MS,
     };
     client->is_keys = 1;
-    return call(client, &http);
+    return Client_Call(client, &http);
 }
 
 static int
@@ -250,6 +273,10 @@
     if (strcmp(command, "counters") == 0) {
         return get(client, "/metrics");
     }
+    int code = Admin_Run(client, count, args);
+    if (code >= 0) {
+        return code;
+    }
     if (!first) {
         fputs(usage, stderr);
         return EXIT_USAGE;
@@ -273,6 +300,43 @@
     return EXIT_USAGE;
 }
 
+/* Returns -1 when the option is none of an operator's. */
+static int
+set_option(struct admin_options *admin, int option)
+{
+    switch (option) {
+    case 'r':
+        admin->reason = optarg;
+        return 0;
+    case 'x':
+        admin->expires_in = optarg;
+        return 0;
+    case 'd':
+        admin->dry_run = 1;
+        return 0;
+    case 'f':
+        admin->force = 1;
+        return 0;
+    case 'v':
+        admin->if_version = optarg;
+        return 0;
+    case 'i':
+        admin->id = optarg;
+        return 0;
+    case 'w':
+        admin->timeout = optarg;
+        return 0;
+    case 'H':
+        admin->token_hash = optarg;
+        return 0;
+    case 'j':
+        admin->json = 1;
+        return 0;
+    default:
+        return -1;
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -281,8 +345,7 @@
         .token = getenv("JACINTHPICK_TOKEN"),
     };
     int option;
-    while ((option = getopt_long(argc, argv, "+e:t:hV", options, NULL)) !=
-           -1) {
+    while ((option = getopt_long(argc, argv, "e:t:hV", options, NULL)) != -1) {
         switch (option) {
         case 'e':
             client.entry = optarg;
@@ -300,10 +363,15 @@
             puts("jacinthpick " JP_VERSION);
             return 0;
         default:
-            fputs(usage, stderr);
-            return EXIT_USAGE;
+            if (set_option(&client.admin, option)) {
+                fputs(usage, stderr);
+                return EXIT_USAGE;
+            }
         }
     }
+    if (sodium_init() < 0) {
+        return EXIT_FAILED;
+    }
     if (optind >= argc) {
         fputs(usage, stderr);
         return EXIT_USAGE;
--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -3,6 +3,11 @@
 
 BASE_PORT=${BASE_PORT:-21000}
 KEY_PHRASE="scenario key, not secret"
+# Operators of scenarios: "erika" with this token, and its hash.
+OPERATOR_TOKEN="operator-token"
+OPERATOR_TOKEN_2="second-token"
+OPERATOR_HASH_2="359c0f0b1c20d988f30ef59e0ecd7d522c9be0a92197123cae48784a342b8a19"
+OPERATOR_HASH="83610523f0286e15fbce40c0d1e51ddefdd7bd3deeadd7d7cf3aa2e4a32cc01f"
 PIDS=()
 
 start() { # name command...
@@ -26,7 +31,8 @@
   cat <<JSON
 {"role": "$1", "node": "$2", "region": "great-lakes", "data_centre": "$3",
  "listen_http": "127.0.0.1:$4", "listen_internal": "127.0.0.1:$5",
- "table_service": "127.0.0.1:$BASE_PORT", "cluster_key": "$KEY_PHRASE"}
+ "table_service": "127.0.0.1:$BASE_PORT", "cluster_key": "$KEY_PHRASE",
+ "operator_token_hashes": "erika:$OPERATOR_HASH,jonas:$OPERATOR_HASH_2"}
 JSON
 }
 
@@ -57,6 +63,12 @@
   "$BUILD/cli/jacinthpick" --entry "$(entry_addr "$n")" "$@"
 }
 
+admin() { # entry_number arguments... : as an operator
+  local n=$1
+  shift
+  "$BUILD/cli/jacinthpick" --entry "$(entry_addr "$n")" --token "$OPERATOR_TOKEN" --json "$@"
+}
+
 wait_for() { # seconds command... : until the command succeeds
   local end=$((SECONDS + $1))
   shift
