--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -48,6 +48,9 @@
                  text ? text : "{}");
 }
 
+/* The library may join the fields with another sign than the caller did. */
+#define FIELD_ENDS "&,;"
+
 /* Value of a field of the query, "" when it is not there. */
 static void
 query_field(const char *query, const char *field, char *out, size_t size)
@@ -57,13 +60,13 @@
     out[0] = '\0';
     while (at && *at) {
         if (strncmp(at, field, name_size) == 0 && at[name_size] == '=') {
-            size_t used = strcspn(at + name_size + 1, "&");
+            size_t used = strcspn(at + name_size + 1, FIELD_ENDS);
             used = used < size ? used : size - 1;
             memcpy(out, at + name_size + 1, used);
             out[used] = '\0';
             return;
         }
-        at = strchr(at, '&');
+        at = strpbrk(at, FIELD_ENDS);
         at = at ? at + 1 : NULL;
     }
 }
--- /dev/null
+++ b/tests/test_config.c
@@ -0,0 +1,286 @@
+/* The configuration: changes, what is in force and why, JSON. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "shell/config_json.h"
+
+#define WALL 1000
+
+static struct config config;
+static struct config other;
+
+static const struct cfg_change who = {"change-1", "erika", WALL};
+
+static const struct cfg_places places = {
+    .count = 3,
+    .items = {{"great-lakes", "erie-shore"},
+              {"great-lakes", "huron-bay"},
+              {"portland", "buff-bay"}},
+};
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    Cfg_Init(&config);
+    return 0;
+}
+
+static enum code
+apply_one(struct cfg_op op)
+{
+    struct err err = {0};
+    Cfg_Apply(&config, &who, &op, 1, &places, &err);
+    return err.code;
+}
+
+static struct cfg_op
+exception(enum cfg_scope scope, const char *name, const char *setting,
+          int64_t value)
+{
+    struct cfg_op op = {.type = CFG_ADD_EXCEPTION,
+                        .scope = scope,
+                        .value = value,
+                        .reason = "a reason"};
+    strcpy(op.name, name);
+    strcpy(op.setting, setting);
+    return op;
+}
+
+static struct cfg_op
+out(enum cfg_scope scope, const char *name)
+{
+    struct cfg_op op = exception(scope, name, "", 0);
+    op.type = CFG_OUT;
+    return op;
+}
+
+static int64_t
+value_for(const struct cfg_subject *subject, enum policy_id setting)
+{
+    struct policy policy;
+    Cfg_Resolve(&config, subject, WALL, &policy);
+    assert_int_equal(policy.value[setting],
+                     Cfg_Explain(&config, subject, setting, WALL).value);
+    return policy.value[setting];
+}
+
+static void
+narrowest_scope_prevails(void **state)
+{
+    (void)state;
+    struct cfg_subject subject = {"great-lakes", "erie-shore", "r1",
+                                  "finishing",   "inspectors", "agent-1"};
+    static const struct {
+        enum cfg_scope scope;
+        const char *name;
+    } scopes[] = {
+        {CFG_REGION, "great-lakes"},
+        {CFG_DATA_CENTRE, "erie-shore"},
+        {CFG_RACK, "r1"},
+        {CFG_SERVICE, "finishing"},
+        {CFG_TEAM, "inspectors"},
+        {CFG_WORKER, "agent-1"},
+        {CFG_UPSTREAM, "agent-1"},
+    };
+    for (int i = 6; i >= 0; i--) {
+        assert_int_equal(apply_one(exception(scopes[i].scope, scopes[i].name,
+                                             "lease_ms", 1000 + i)),
+                         CODE_OK);
+        assert_int_equal(value_for(&subject, POL_LEASE_MS), 1006);
+    }
+    while (config.exception_count) {
+        struct cfg_why why =
+            Cfg_Explain(&config, &subject, POL_LEASE_MS, WALL);
+        struct cfg_op op = {.type = CFG_REMOVE_EXCEPTION,
+                            .id = why.exception->id};
+        assert_int_equal(why.value, 999 + config.exception_count);
+        assert_int_equal(apply_one(op), CODE_OK);
+    }
+    assert_int_equal(value_for(&subject, POL_LEASE_MS), 60000);
+}
+
+static void
+out_of_service_anywhere_is_out(void **state)
+{
+    (void)state;
+    struct cfg_subject subject = {
+        .region = "great-lakes", .dc = "erie-shore", .node = "agent-1"};
+    assert_int_equal(apply_one(out(CFG_DATA_CENTRE, "erie-shore")), CODE_OK);
+    assert_int_equal(
+        apply_one(exception(CFG_UPSTREAM, "agent-1", "in_service", 1)),
+        CODE_OK);
+    assert_int_equal(value_for(&subject, POL_IN_SERVICE), 0);
+}
+
+static void
+expired_exception_is_not_in_force(void **state)
+{
+    (void)state;
+    struct cfg_subject subject = {.dc = "erie-shore"};
+    struct cfg_op op =
+        exception(CFG_DATA_CENTRE, "erie-shore", "lease_ms", 7000);
+    op.expires_s = WALL + 10;
+    assert_int_equal(apply_one(op), CODE_OK);
+    assert_int_equal(Cfg_NextExpiry(&config, WALL), WALL + 10);
+    assert_int_equal(
+        Cfg_Explain(&config, &subject, POL_LEASE_MS, WALL + 9).value, 7000);
+    assert_int_equal(
+        Cfg_Explain(&config, &subject, POL_LEASE_MS, WALL + 10).value, 60000);
+}
+
+static void
+bad_changes_change_nothing(void **state)
+{
+    (void)state;
+    struct cfg_op bad[] = {
+        exception(CFG_DATA_CENTRE, "nowhere", "lease_ms", 1000),
+        exception(CFG_REGION, "nowhere", "lease_ms", 1000),
+        exception(CFG_FLEET, "", "lease_ms", 1000),
+        exception(CFG_SCOPE_COUNT, "x", "lease_ms", 1000),
+        exception(CFG_SERVICE, "", "lease_ms", 1000),
+        exception(CFG_SERVICE, "finishing", "no_such", 1000),
+        exception(CFG_SERVICE, "finishing", "lease_ms", 99),
+        exception(CFG_SERVICE, "finishing", "lease_ms", 3600001),
+        exception(CFG_SERVICE, "finishing", "lease_ms", 1000),
+        exception(CFG_SERVICE, "finishing", "lease_ms", 1000),
+        {.type = CFG_SET_DEFAULT, .setting = "no_such", .value = 1},
+        {.type = CFG_REMOVE_EXCEPTION, .id = 77},
+        {.type = CFG_RETURN, .scope = CFG_DATA_CENTRE, .name = "huron-bay"},
+        {.type = CFG_SET_TEAM, .name = "t", .value = -1},
+        {.type = CFG_SET_TEAM, .name = "t", .token_hash = "abc"},
+        {.type = CFG_REMOVE_TEAM, .name = "t"},
+    };
+    strcpy(bad[8].reason, " \t");
+    bad[9].expires_s = WALL;
+    other = config;
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        assert_int_equal(apply_one(bad[i]), CODE_BAD_FIELD);
+        assert_memory_equal(&config, &other, sizeof(config));
+    }
+}
+
+static void
+change_is_applied_whole_or_not_at_all(void **state)
+{
+    (void)state;
+    struct err err = {0};
+    struct cfg_op ops[2] = {
+        exception(CFG_SERVICE, "finishing", "lease_ms", 1000),
+        exception(CFG_SERVICE, "finishing", "lease_ms", 1),
+    };
+    other = config;
+    assert_int_equal(Cfg_Apply(&config, &who, ops, 2, &places, &err), -1);
+    assert_memory_equal(&config, &other, sizeof(config));
+}
+
+static void
+last_data_centre_needs_force(void **state)
+{
+    (void)state;
+    struct err err = {0};
+    struct cfg_places forced = places;
+    struct cfg_op last = out(CFG_REGION, "portland");
+    forced.force = 1;
+    assert_int_equal(apply_one(out(CFG_DATA_CENTRE, "erie-shore")), CODE_OK);
+    assert_int_equal(apply_one(out(CFG_DATA_CENTRE, "huron-bay")), CODE_OK);
+    assert_int_equal(apply_one(last), CODE_LAST_DATA_CENTRE);
+    assert_int_equal(config.version, 2);
+    assert_int_equal(Cfg_Apply(&config, &who, &last, 1, &forced, &err), 0);
+}
+
+/* A peer that applies the same change to the same version has the same. */
+static void
+json_keeps_everything(void **state)
+{
+    (void)state;
+    struct err err = {0};
+    struct cj_change change = {.head = who, .count = 3};
+    struct cj_change back = {.count = 0};
+    change.ops[0] = exception(CFG_RACK, "r1", "lease_ms", 1234);
+    change.ops[0].expires_s = WALL + 5;
+    change.ops[1] = (struct cfg_op){
+        .type = CFG_SET_TEAM, .name = "inspectors", .value = 40};
+    memset(change.ops[1].token_hash, 'a', CFG_HASH_SIZE - 1);
+    change.ops[2] = (struct cfg_op){
+        .type = CFG_SET_DEFAULT, .setting = "queue_limit", .value = 17};
+    json_t *root = Cj_WriteChange(&change, 1);
+    assert_int_equal(Cj_ReadChange(&back, root, &err), 0);
+    json_decref(root);
+    assert_memory_equal(&back, &change, sizeof(change));
+    assert_int_equal(Cfg_Apply(&config, &who, change.ops, 3, &places, &err),
+                     0);
+    root = Cj_Write(&config, 1);
+    assert_int_equal(Cj_Read(&other, root, &err), 0);
+    json_decref(root);
+    assert_memory_equal(&config, &other, sizeof(config));
+}
+
+static void
+token_hashes_are_not_shown(void **state)
+{
+    (void)state;
+    struct cfg_op op = {.type = CFG_SET_TEAM, .name = "inspectors"};
+    memset(op.token_hash, 'a', CFG_HASH_SIZE - 1);
+    assert_int_equal(apply_one(op), CODE_OK);
+    json_t *root = Cj_Write(&config, 0);
+    char *text = json_dumps(root, 0);
+    assert_null(strstr(text, op.token_hash));
+    free(text);
+    json_decref(root);
+}
+
+static void
+corrupt_rows_are_refused(void **state)
+{
+    (void)state;
+    static const char *const texts[] = {
+        "null",
+        "[]",
+        "{}",
+        "{\"format\":1}",
+        "{\"format\":2,\"version\":1,\"defaults\":{},\"exceptions\":[],"
+        "\"teams\":[]}",
+        "{\"format\":1,\"version\":0,\"defaults\":{},\"exceptions\":[],"
+        "\"teams\":[]}",
+        "{\"format\":1,\"version\":1,\"defaults\":{\"lease_ms\":1},"
+        "\"exceptions\":[],\"teams\":[]}",
+        "{\"format\":1,\"version\":1,\"defaults\":{\"what\":1},"
+        "\"exceptions\":[],\"teams\":[]}",
+        "{\"format\":1,\"version\":1,\"defaults\":{},\"exceptions\":[{}],"
+        "\"teams\":[]}",
+        "{\"format\":1,\"version\":1,\"defaults\":{},\"exceptions\":[],"
+        "\"teams\":[{\"quota\":1}]}",
+        "{\"format\":1,\"version\":\"1\",\"defaults\":{},\"exceptions\":[],"
+        "\"teams\":[]}",
+    };
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        struct err err = {0};
+        json_t *root = json_loads(texts[i], JSON_DECODE_ANY, NULL);
+        assert_int_equal(Cj_Read(&config, root, &err), -1);
+        assert_int_equal(err.code, CODE_BAD_FIELD);
+        json_decref(root);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup(narrowest_scope_prevails, set_up),
+        cmocka_unit_test_setup(out_of_service_anywhere_is_out, set_up),
+        cmocka_unit_test_setup(expired_exception_is_not_in_force, set_up),
+        cmocka_unit_test_setup(bad_changes_change_nothing, set_up),
+        cmocka_unit_test_setup(change_is_applied_whole_or_not_at_all, set_up),
+        cmocka_unit_test_setup(last_data_centre_needs_force, set_up),
+        cmocka_unit_test_setup(json_keeps_everything, set_up),
+        cmocka_unit_test_setup(token_hashes_are_not_shown, set_up),
+        cmocka_unit_test_setup(corrupt_rows_are_refused, set_up),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
