--- /dev/null
+++ b/tests/test_fresh.c
@@ -0,0 +1,518 @@
+/* Freshness and acceptance: entries and agents in memory, a clock and links
+ * under the test's control. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/agent.h"
+#include "core/entry.h"
+
+#define ENTRIES 3
+#define AGENTS 2
+#define NODES (ENTRIES + AGENTS)
+#define QUEUE_MAX 65536
+#define STEP_US (10 * US_PER_MS)
+#define START_US (100 * US_PER_S)
+
+struct letter {
+    int from;
+    uint64_t to;
+    struct msg msg;
+};
+
+struct node {
+    int index;
+    uint64_t incarnation;
+    int is_paused;
+    struct entry entry;
+    struct agent agent;
+    struct config config;
+    uint64_t asked_us; /* Latest read of the store. */
+};
+
+static struct {
+    struct node nodes[NODES];
+    struct counters counters;
+    struct letter *queue;
+    size_t count;
+    uint8_t cut[NODES][NODES];
+    uint8_t store_cut[NODES];
+    uint8_t lose_state[NODES]; /* Configurations to it are lost. */
+    struct config stored;
+    uint64_t stored_rows;
+    struct now now;
+} world;
+
+static int
+is_agent(int index)
+{
+    return index >= ENTRIES;
+}
+
+static void
+emit(void *context, const struct act *act)
+{
+    struct node *node = context;
+    if (act->type != ACT_SEND || act->u.send.msg->type == MSG_ISSUERS) {
+        return;
+    }
+    assert_true(world.count < QUEUE_MAX);
+    struct letter *letter = &world.queue[world.count++];
+    letter->from = node->index;
+    letter->to = act->u.send.to;
+    letter->msg = *act->u.send.msg;
+}
+
+static struct ent_member
+member_of(int index)
+{
+    struct ent_member member = {.role =
+                                    is_agent(index) ? ROLE_AGENT : ROLE_ENTRY};
+    snprintf(member.node, sizeof(member.node), "node-%d", index);
+    snprintf(member.dc, sizeof(member.dc), "dc-%d", index % 2);
+    member.incarnation = world.nodes[index].incarnation;
+    member.registered = (uint64_t)index + 1;
+    return member;
+}
+
+/* The entry reads the store: the members and the newest configuration. */
+static void
+read_store(struct node *node, uint64_t asked_us)
+{
+    if (node->entry.version == 0) {
+        for (int i = 0; i < NODES; i++) {
+            struct ent_member member = member_of(i);
+            Ent_OnMember(&node->entry, world.now, &member);
+        }
+    }
+    if (world.stored.version > node->config.version) {
+        node->config = world.stored;
+        Ent_OnConfig(&node->entry, world.now, &node->config,
+                     (struct bytes){"whole", 5}, (struct bytes){NULL, 0}, 0);
+    }
+    Ent_OnVersion(&node->entry, world.now, world.stored_rows);
+    Ent_OnRead(&node->entry, world.now, asked_us);
+}
+
+static void
+deliver(const struct letter *letter)
+{
+    struct node *to = NULL;
+    for (int i = 0; i < NODES; i++) {
+        if (world.nodes[i].incarnation == letter->to) {
+            to = &world.nodes[i];
+        }
+    }
+    if (!to || world.cut[letter->from][to->index] || to->is_paused) {
+        return;
+    }
+    struct frame_head head = {.from = world.nodes[letter->from].incarnation,
+                              .to = letter->to,
+                              .role = is_agent(letter->from) ? ROLE_AGENT
+                                                             : ROLE_ENTRY};
+    if (!is_agent(to->index)) {
+        Ent_OnMessage(&to->entry, world.now, &head, &letter->msg);
+    }
+    else if (letter->msg.type == MSG_STATE) {
+        if (!world.lose_state[to->index]) {
+            Ag_OnConfig(&to->agent, world.now, letter->msg.u.state.version, 0);
+        }
+    }
+    else {
+        Ag_OnMessage(&to->agent, world.now, &head, &letter->msg);
+    }
+}
+
+static void
+deliver_all(void)
+{
+    for (size_t i = 0; i < world.count; i++) {
+        struct letter letter = world.queue[i];
+        deliver(&letter);
+    }
+    world.count = 0;
+}
+
+static void
+step_node(struct node *node)
+{
+    if (node->is_paused) {
+        return;
+    }
+    if (is_agent(node->index)) {
+        Ag_OnTick(&node->agent, world.now);
+        return;
+    }
+    Ent_OnTick(&node->entry, world.now);
+    if (!world.store_cut[node->index] &&
+        world.now.us - node->asked_us >= 250 * US_PER_MS) {
+        node->asked_us = world.now.us;
+        read_store(node, world.now.us);
+    }
+}
+
+static void
+run_ms(uint64_t ms)
+{
+    uint64_t end_us = world.now.us + ms * US_PER_MS;
+    while (world.now.us < end_us) {
+        world.now.us += STEP_US;
+        for (int i = 0; i < NODES; i++) {
+            step_node(&world.nodes[i]);
+        }
+        deliver_all();
+    }
+}
+
+static void
+init_node(int index)
+{
+    struct node *node = &world.nodes[index];
+    struct act_sink sink = {emit, node};
+    node->index = index;
+    node->incarnation = 1000 + (uint64_t)index;
+    struct ent_settings entry = {.incarnation = node->incarnation,
+                                 .job_capacity = 16,
+                                 .peer_capacity = 16,
+                                 .key_lifetime_s = 300,
+                                 .check_fresh = 1};
+    struct ag_settings agent = {.incarnation = node->incarnation,
+                                .task_capacity = 16,
+                                .key_lifetime_s = 300,
+                                .check_fresh = 1};
+    if (is_agent(index)) {
+        assert_int_equal(Ag_Init(&node->agent, &agent, sink, &world.counters),
+                         0);
+        Ag_OnRegistered(&node->agent, (uint64_t)index + 1);
+    }
+    else {
+        assert_int_equal(
+            Ent_Init(&node->entry, &entry, world.now, sink, &world.counters),
+            0);
+    }
+}
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    memset(&world, 0, sizeof(world));
+    world.queue = calloc(QUEUE_MAX, sizeof(world.queue[0]));
+    world.now = (struct now){START_US, 1000};
+    world.stored_rows = NODES;
+    for (int i = 0; i < NODES; i++) {
+        init_node(i);
+    }
+    run_ms(3000);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    for (int i = 0; i < NODES; i++) {
+        if (is_agent(i)) {
+            Ag_Finish(&world.nodes[i].agent);
+        }
+        else {
+            Ent_Finish(&world.nodes[i].entry);
+        }
+    }
+    free(world.queue);
+    return 0;
+}
+
+static void
+cut(int from, int to)
+{
+    world.cut[from][to] = 1;
+    world.cut[to][from] = 1;
+}
+
+static int
+is_fresh(int index)
+{
+    struct node *node = &world.nodes[index];
+    return is_agent(index) ? Ag_IsFresh(&node->agent, world.now)
+                           : Ent_IsFresh(&node->entry, world.now);
+}
+
+static uint64_t
+version_at(int index)
+{
+    struct node *node = &world.nodes[index];
+    return is_agent(index) ? node->agent.config : node->config.version;
+}
+
+/* Commit a change through an entry, which takes it in at once. */
+static struct ent_accept
+commit(int index)
+{
+    struct node *node = &world.nodes[index];
+    world.stored.version++;
+    world.stored_rows++;
+    struct ent_accept accept = {.rows = world.stored_rows,
+                                .config = world.stored.version,
+                                .commit_us = world.now.us};
+    node->config = world.stored;
+    Ent_OnConfig(&node->entry, world.now, &node->config,
+                 (struct bytes){"whole", 5}, (struct bytes){NULL, 0}, 1);
+    Ent_OnVersion(&node->entry, world.now, world.stored_rows);
+    return accept;
+}
+
+/* Runs until accepted; returns the milliseconds, or `limit_ms`. Meanwhile no
+ * process may be fresh with an older version once it is accepted. */
+static uint64_t
+wait_accepted(int index, struct ent_accept *accept, uint64_t limit_ms)
+{
+    uint64_t waited_ms = 0;
+    while (waited_ms < limit_ms &&
+           !Ent_CheckAccept(&world.nodes[index].entry, world.now, accept)
+                .accepted) {
+        run_ms(10);
+        waited_ms += 10;
+    }
+    return waited_ms;
+}
+
+static void
+assert_nobody_acts_on_older(uint64_t version)
+{
+    for (int i = 0; i < NODES; i++) {
+        assert_true(!is_fresh(i) || version_at(i) >= version);
+    }
+}
+
+static void
+all_are_fresh_with_the_store(void **state)
+{
+    (void)state;
+    for (int i = 0; i < NODES; i++) {
+        assert_true(is_fresh(i));
+    }
+}
+
+static void
+outage_with_an_entry_lost_leaves_all_fresh(void **state)
+{
+    (void)state;
+    memset(world.store_cut, 1, sizeof(world.store_cut));
+    world.nodes[2].is_paused = 1;
+    run_ms(3600 * 1000);
+    assert_true(is_fresh(0));
+    assert_true(is_fresh(1));
+    assert_true(is_fresh(3));
+    assert_true(is_fresh(4));
+}
+
+static void
+outage_with_two_entries_lost_stops_starts(void **state)
+{
+    (void)state;
+    memset(world.store_cut, 1, sizeof(world.store_cut));
+    world.nodes[1].is_paused = 1;
+    world.nodes[2].is_paused = 1;
+    run_ms(10000);
+    for (int i = 0; i < NODES; i++) {
+        assert_false(is_fresh(i));
+    }
+}
+
+static void
+entry_started_in_an_outage_vouches_for_nobody(void **state)
+{
+    (void)state;
+    memset(world.store_cut, 1, sizeof(world.store_cut));
+    world.nodes[1].is_paused = 1;
+    /* The third starts anew and knows the members, not from the store. */
+    world.nodes[2].entry.conf.store_us = 0;
+    run_ms(10000);
+    assert_false(is_fresh(0));
+    assert_false(is_fresh(2));
+    assert_false(is_fresh(3));
+}
+
+static void
+pause_is_noticed_at_the_act(void **state)
+{
+    (void)state;
+    world.nodes[0].is_paused = 1;
+    world.nodes[3].is_paused = 1;
+    run_ms(4000);
+    world.nodes[0].is_paused = 0;
+    world.nodes[3].is_paused = 0;
+    assert_false(is_fresh(0));
+    assert_false(is_fresh(3));
+    run_ms(2000);
+    assert_true(is_fresh(0));
+    assert_true(is_fresh(3));
+}
+
+static void
+answer_counts_from_the_question(void **state)
+{
+    (void)state;
+    struct node *node = &world.nodes[0];
+    memset(world.store_cut, 1, sizeof(world.store_cut));
+    cut(0, 1);
+    cut(0, 2);
+    run_ms(5000);
+    assert_false(is_fresh(0));
+    /* A slow answer of the store arrives. */
+    Ent_OnRead(&node->entry, world.now, world.now.us - FRESH_US);
+    assert_false(is_fresh(0));
+    Ent_OnRead(&node->entry, world.now, world.now.us - FRESH_US + 1);
+    assert_true(is_fresh(0));
+}
+
+static void
+change_is_accepted_when_all_have_it(void **state)
+{
+    (void)state;
+    struct ent_accept accept = commit(0);
+    uint64_t waited_ms = wait_accepted(0, &accept, 60000);
+    assert_true(waited_ms < 3000);
+    for (int i = 0; i < NODES; i++) {
+        assert_int_equal(version_at(i), 1);
+    }
+}
+
+static void
+cut_off_entry_and_agent_lapse_before_acceptance(void **state)
+{
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        cut(2, i);
+        cut(4, i);
+    }
+    cut(2, 3);
+    cut(4, 3);
+    world.store_cut[2] = 1;
+    struct ent_accept accept = commit(0);
+    uint64_t waited_ms = wait_accepted(0, &accept, 60000);
+    assert_in_range(waited_ms, FRESH_US / US_PER_MS, 10000);
+    assert_int_equal(version_at(2), 0);
+    assert_int_equal(version_at(4), 0);
+    assert_nobody_acts_on_older(1);
+}
+
+static void
+change_without_a_majority_is_not_accepted(void **state)
+{
+    (void)state;
+    /* The others see each other, not the store: they go on as they are. */
+    world.store_cut[1] = 1;
+    world.store_cut[2] = 1;
+    cut(0, 1);
+    cut(0, 2);
+    run_ms(10000);
+    struct ent_accept accept = commit(0);
+    assert_int_equal(wait_accepted(0, &accept, 60000), 60000);
+    assert_true(is_fresh(1));
+    assert_int_equal(version_at(1), 0);
+}
+
+static void
+paused_entry_does_not_act_on_the_older_version(void **state)
+{
+    (void)state;
+    world.nodes[1].is_paused = 1;
+    world.nodes[3].is_paused = 1;
+    struct ent_accept accept = commit(0);
+    wait_accepted(0, &accept, 60000);
+    world.nodes[1].is_paused = 0;
+    world.nodes[3].is_paused = 0;
+    assert_nobody_acts_on_older(1);
+    for (int i = 0; i < 300; i++) {
+        run_ms(10);
+        assert_nobody_acts_on_older(1);
+    }
+    assert_true(is_fresh(1));
+    assert_true(is_fresh(3));
+}
+
+/* They hear from those that have the change, and have not got it. */
+static void
+whoever_hears_of_a_newer_version_lapses(void **state)
+{
+    (void)state;
+    world.store_cut[0] = 1;
+    world.lose_state[3] = 1;
+    struct ent_accept accept = commit(1);
+    assert_in_range(wait_accepted(1, &accept, 60000), FRESH_US / US_PER_MS,
+                    10000);
+    assert_int_equal(version_at(0), 0);
+    assert_int_equal(version_at(3), 0);
+    assert_nobody_acts_on_older(1);
+    run_ms(10000);
+    assert_nobody_acts_on_older(1);
+}
+
+static void
+older_version_is_never_applied(void **state)
+{
+    (void)state;
+    struct agent *agent = &world.nodes[3].agent;
+    Ag_OnConfig(agent, world.now, 5, 1);
+    Ag_OnConfig(agent, world.now, 4, 0);
+    assert_int_equal(agent->config, 5);
+    assert_int_equal(agent->is_out, 1);
+}
+
+static void
+returning_agent_gets_its_slots_back_over_time(void **state)
+{
+    (void)state;
+    struct node *node = &world.nodes[0];
+    struct ent_peer *agent = NULL;
+    uint32_t slot = 0;
+    while ((agent = Tab_Next(&node->entry.peers, &slot))) {
+        if (agent->member.incarnation == world.nodes[3].incarnation) {
+            break;
+        }
+    }
+    assert_non_null(agent);
+    struct cfg_exception *out = &world.stored.exceptions[0];
+    world.stored.exception_count = 1;
+    *out = (struct cfg_exception){.id = 1,
+                                  .scope = CFG_DATA_CENTRE,
+                                  .name = "dc-1",
+                                  .setting = POL_IN_SERVICE,
+                                  .reason = "a reason"};
+    commit(0);
+    assert_int_equal(agent->is_out, 1);
+    assert_int_equal(agent->policy.value[POL_IN_SERVICE], 0);
+    world.stored.exception_count = 0;
+    commit(0);
+    assert_int_equal(agent->is_out, 0);
+    assert_int_equal(agent->return_us, world.now.us);
+}
+
+int
+main(void)
+{
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        T(all_are_fresh_with_the_store),
+        T(outage_with_an_entry_lost_leaves_all_fresh),
+        T(outage_with_two_entries_lost_stops_starts),
+        T(entry_started_in_an_outage_vouches_for_nobody),
+        T(pause_is_noticed_at_the_act),
+        T(answer_counts_from_the_question),
+        T(change_is_accepted_when_all_have_it),
+        T(cut_off_entry_and_agent_lapse_before_acceptance),
+        T(change_without_a_majority_is_not_accepted),
+        T(paused_entry_does_not_act_on_the_older_version),
+        T(whoever_hears_of_a_newer_version_lapses),
+        T(older_version_is_never_applied),
+        T(returning_agent_gets_its_slots_back_over_time),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
