--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -49,7 +49,7 @@
 
 /* A reason to refuse that may pass, CODE_OK for none. */
 static enum code
-check_room(struct agent *agent, const struct msg_start *start)
+check_room(struct agent *agent, struct now now, const struct msg_start *start)
 {
     if (agent->registered == 0) {
         return CODE_NOT_ADMITTED;
@@ -57,7 +57,10 @@
     if (!Agi_HasRoom(agent)) {
         return CODE_NO_MEMORY;
     }
-    if (agent->draining || agent->upstream.leaving) {
+    if (!Ag_IsFresh(agent, now)) {
+        return CODE_NOT_FRESH;
+    }
+    if (agent->draining || agent->upstream.leaving || agent->is_out) {
         return CODE_OUT_OF_SERVICE;
     }
     if (agent->announced_us == 0) {
@@ -129,7 +132,7 @@
 start_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
-    enum code code = check_room(agent, start);
+    enum code code = check_room(agent, now, start);
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -200,6 +200,17 @@
     m->forgotten_s = take_u32(c);
 }
 
+static void
+get_version(struct cursor *c, struct msg_version *m)
+{
+    m->config = take_u64(c);
+    m->members = take_u64(c);
+    m->sent_us = take_u64(c);
+    m->echo_us = take_u64(c);
+    m->age_us = take_u64(c);
+    m->vouches = (uint8_t)take_max(c, 1);
+}
+
 static uint32_t
 task_count(struct cursor *c, const struct cursor *inner)
 {
@@ -281,7 +292,7 @@
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_max(&c, MSG_HANDED);
+    msg->type = (enum msg_type)take_max(&c, MSG_VERSION);
     switch (msg->type) {
     case MSG_BEAT:
         get_beat(&c, &msg->u.beat);
@@ -341,6 +352,9 @@
         take_epoch(&c, &msg->u.handed.epoch);
         msg->u.handed.last = (uint8_t)take_max(&c, 1);
         break;
+    case MSG_VERSION:
+        get_version(&c, &msg->u.version);
+        break;
     default:
         return -1;
     }
