Measure the dispatcher under load with real processes

A baseline (random placement, no admission limit, fixed retries) stands behind the setting placement.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -18,8 +18,15 @@
 /** Most keys issued in one call. */
 #define ENT_MAX_KEYS 1000
 
+/** How an entry decides; the baseline is there to be measured against. */
+enum ent_mode {
+    ENT_STANDARD = 0,
+    ENT_BASELINE, /**< Random placement, no admission limit, fixed retries. */
+};
+
 /** Settings of an entry. */
 struct ent_settings {
+    enum ent_mode mode;
     uint64_t incarnation;
     char dc[WIRE_NAME_SIZE];
     uint32_t job_capacity;   /**< Jobs known at once, answered ones too. */
@@ -147,7 +154,8 @@
     uint32_t open;    /**< Tasks not in ENT_DONE. */
     uint32_t next_waiting;
     uint8_t queued;
-    uint8_t read; /**< A caller has read the answer. */
+    uint64_t not_before_us; /**< Its tasks are not placed before this. */
+    uint8_t read;           /**< A caller has read the answer. */
     enum code code;
     char detail[WIRE_ADDR_SIZE];
     uint32_t retry_after_ms;
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -144,9 +144,12 @@
                     struct ent_task *task);
 
 /** Put a task back into the queue after a true refusal. */
-void Enti_Requeue(struct entry *entry, struct ent_job *job,
+void Enti_Requeue(struct entry *entry, struct now now, struct ent_job *job,
                   struct ent_task *task);
 
+/** Place what waits in every service. */
+void Enti_PlaceAll(struct entry *entry, struct now now);
+
 /** Free the slot that a task took at its agent. */
 void Enti_Release(struct entry *entry, const struct ent_job *job,
                   const struct ent_task *task);
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -4,6 +4,9 @@
 
 #include "entry_impl.h"
 
+/* The baseline places a refused task again after this. */
+#define BASELINE_RETRY_US (50 * US_PER_MS)
+
 static uint32_t
 free_room(const struct ent_peer *agent, unsigned flags)
 {
@@ -56,6 +59,23 @@
     return best;
 }
 
+/* The baseline: any agent, whatever is known of it. */
+static struct ent_peer *
+pick_random(struct entry *entry, struct now now, const struct ent_job *job)
+{
+    struct ent_peer *picked = NULL;
+    struct ent_peer *agent;
+    uint32_t seen = 0;
+    DL_FOREACH(job->service->agents, agent)
+    {
+        if (may_run(agent, now, job) && is_in_service(entry, agent) &&
+            Enti_Random(entry) % ++seen == 0) {
+            picked = agent;
+        }
+    }
+    return picked;
+}
+
 static uint32_t
 remaining_ms(struct now now, const struct ent_job *job)
 {
@@ -125,8 +145,13 @@
 static int
 place_job(struct entry *entry, struct now now, struct ent_job *job)
 {
+    if (job->not_before_us > now.us) {
+        return 0;
+    }
     while (job->waiting) {
-        struct ent_peer *agent = pick_agent(entry, now, job);
+        struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
+                                     ? pick_random(entry, now, job)
+                                     : pick_agent(entry, now, job);
         if (!agent) {
             return -1;
         }
@@ -151,6 +176,18 @@
     }
 }
 
+void
+Enti_PlaceAll(struct entry *entry, struct now now)
+{
+    uint32_t slot = 0;
+    struct ent_service *service;
+    while ((service = Tab_Next(&entry->services, &slot))) {
+        if (service->waiting) {
+            Enti_Place(entry, now, service);
+        }
+    }
+}
+
 void
 Enti_Release(struct entry *entry, const struct ent_job *job,
              const struct ent_task *task)
@@ -167,9 +204,13 @@
 }
 
 void
-Enti_Requeue(struct entry *entry, struct ent_job *job, struct ent_task *task)
+Enti_Requeue(struct entry *entry, struct now now, struct ent_job *job,
+             struct ent_task *task)
 {
     Enti_Release(entry, job, task);
+    if (entry->settings.mode == ENT_BASELINE) {
+        job->not_before_us = now.us + BASELINE_RETRY_US;
+    }
     CTR_INC(entry->counters, start_retried);
     task->state = ENT_WAITING;
     job->waiting++;
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -100,15 +100,16 @@
 }
 
 static void
-on_refused(struct entry *entry, struct ent_job *job, struct ent_task *task,
-           struct ent_peer *agent, const struct msg_result *result)
+on_refused(struct entry *entry, struct now now, struct ent_job *job,
+           struct ent_task *task, struct ent_peer *agent,
+           const struct msg_result *result)
 {
     if (result->attempt != task->attempt) {
         CTR_INC(entry->counters, result_stale);
         return;
     }
     Ctr_Code(entry->counters, result->code);
-    Enti_Requeue(entry, job, task);
+    Enti_Requeue(entry, now, job, task);
     if (result->code == CODE_NO_SLOT) {
         agent->others = result->busy > agent->outstanding
                             ? result->busy - agent->outstanding
@@ -126,7 +127,7 @@
 {
     switch (result->state) {
     case TASK_REFUSED:
-        on_refused(entry, job, task, agent, result);
+        on_refused(entry, now, job, task, agent, result);
         break;
     case TASK_RUNNING:
         task->resend_us = now.us + RUNNING_RESEND_US;
@@ -185,7 +186,8 @@
 }
 
 static void
-lose_job_tasks(struct entry *entry, struct ent_job *job, uint64_t agent)
+lose_job_tasks(struct entry *entry, struct now now, struct ent_job *job,
+               uint64_t agent)
 {
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
@@ -196,7 +198,7 @@
             continue;
         }
         if (job->flags & SUB_IDEMPOTENT) {
-            Enti_Requeue(entry, job, task);
+            Enti_Requeue(entry, now, job, task);
         }
         else {
             fail_job(entry, job, task, CODE_OUTCOME_UNKNOWN);
@@ -214,7 +216,7 @@
     agent->leaving = 1;
     while ((job = Tab_Next(&entry->jobs, &slot))) {
         if (job->state == ENT_JOB_OPEN) {
-            lose_job_tasks(entry, job, incarnation);
+            lose_job_tasks(entry, now, job, incarnation);
         }
     }
     agent->outstanding = 0;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -367,6 +367,9 @@
 {
     struct act_sink sink = {emit, daemon};
     struct ent_settings core = {
+        .mode = strcmp(daemon->settings->placement, "baseline") == 0
+                    ? ENT_BASELINE
+                    : ENT_STANDARD,
         .incarnation = incarnation,
         .job_capacity = (uint32_t)daemon->settings->job_capacity,
         .peer_capacity = (uint32_t)daemon->settings->member_capacity,
--- /dev/null
+++ b/measure/mix.c
@@ -0,0 +1,110 @@
+#include "mix.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Run times of the few long tasks. */
+#define LONG_LEAST_MS 2000.0
+#define LONG_MOST_MS 5000.0
+
+static const struct mix mixes[] = {
+    {"lakeshore",
+     "finishing",
+     5,
+     {
+         {"edge-check", 0, PRIO_URGENT, 0.15, 0, 1, 4, 50, 200, 0, 3000},
+         {"buff-plan", 0, PRIO_NORMAL, 0.55, 0, 8, 40, 50, 1000, 0.01, 12000},
+         {"scratch-review", 0, PRIO_BULK, 0.3, 0, 4, 16, 100, 1000, 0.03,
+          20000},
+         {"pane-lookup", SUB_REQUEST | SUB_IDEMPOTENT, PRIO_URGENT, 0, 8, 1, 1,
+          5, 40, 0, 2000},
+         {"billing-step", SUB_REQUEST, PRIO_NORMAL, 0, 4, 1, 1, 20, 80, 0,
+          4000},
+     }},
+    {"portland",
+     "commission-desk",
+     4,
+     {
+         {"proof", 0, PRIO_URGENT, 0.45, 0, 8, 40, 50, 1000, 0.02, 12000},
+         {"price-check", 0, PRIO_NORMAL, 0.3, 0, 1, 6, 50, 300, 0, 4000},
+         {"yard-plan", 0, PRIO_BULK, 0.25, 0, 4, 24, 100, 1000, 0.02, 20000},
+         {"slot-hold", SUB_REQUEST, PRIO_NORMAL, 0, 8, 1, 1, 20, 80, 0, 4000},
+     }},
+    {"noop",
+     "finishing",
+     1,
+     {
+         {"noop", 0, PRIO_NORMAL, 1, 0, 100, 100, 1, 1.0001, 0, 10000},
+     }},
+};
+
+const struct mix *
+Mix_Find(const char *name)
+{
+    for (size_t i = 0; i < sizeof(mixes) / sizeof(mixes[0]); i++) {
+        if (strcmp(mixes[i].name, name) == 0) {
+            return &mixes[i];
+        }
+    }
+    return NULL;
+}
+
+/* SplitMix64. */
+static uint64_t
+next_bits(struct mix_random *random)
+{
+    uint64_t z = (random->state += 0x9e3779b97f4a7c15ull);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ull;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebull;
+    return z ^ (z >> 31);
+}
+
+double
+Mix_Draw(struct mix_random *random)
+{
+    return (double)(next_bits(random) >> 11) / 9007199254740992.0;
+}
+
+double
+Mix_Gap(struct mix_random *random, double rate)
+{
+    return -log(1.0 - Mix_Draw(random)) / rate;
+}
+
+static double
+mean_ms(const struct mix_kind *kind)
+{
+    double usual =
+        (kind->most_ms - kind->least_ms) / log(kind->most_ms / kind->least_ms);
+    double rare = (LONG_LEAST_MS + LONG_MOST_MS) / 2;
+    return usual * (1 - kind->long_share) + rare * kind->long_share;
+}
+
+double
+Mix_Rate(const struct mix *mix, int index, double slots)
+{
+    const struct mix_kind *kind = &mix->kinds[index];
+    double tasks = (kind->least_tasks + kind->most_tasks) / 2.0;
+    if (kind->flags & SUB_REQUEST) {
+        return kind->rate;
+    }
+    return slots * kind->work_share / (tasks * mean_ms(kind) / 1000);
+}
+
+uint32_t
+Mix_Tasks(struct mix_random *random, const struct mix_kind *kind)
+{
+    uint32_t span = kind->most_tasks - kind->least_tasks + 1;
+    return kind->least_tasks + (uint32_t)(Mix_Draw(random) * span);
+}
+
+double
+Mix_RunMs(struct mix_random *random, const struct mix_kind *kind)
+{
+    if (Mix_Draw(random) < kind->long_share) {
+        return LONG_LEAST_MS +
+               Mix_Draw(random) * (LONG_MOST_MS - LONG_LEAST_MS);
+    }
+    double ratio = kind->most_ms / kind->least_ms;
+    return kind->least_ms * pow(ratio, Mix_Draw(random));
+}
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -27,6 +27,7 @@
     char tls_certificate[SET_TEXT_SIZE];
     char tls_key[SET_TEXT_SIZE];
     char log_level[WIRE_NAME_SIZE];
+    char placement[WIRE_NAME_SIZE];
     int64_t key_lifetime_s;
     int64_t job_capacity;
     int64_t task_capacity;
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -276,6 +276,7 @@
         return on_body(httpd, session, in, len);
     case LWS_CALLBACK_HTTP_BODY_COMPLETION: {
         struct conn *conn = Tab_Get(&httpd->conns, session->conn);
+        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
         if (conn && !conn->reply) {
             dispatch(httpd, conn);
         }
--- a/shell/src/loop.c
+++ b/shell/src/loop.c
@@ -5,6 +5,10 @@
 
 #include "base/log.h"
 
+/* lws gives up on an answer after this, by default after 5 s; a call's own
+ * timeout is shorter. */
+#define WAIT_LIMIT_S 7200
+
 int
 Loop_Init(struct loop *loop, struct err *err)
 {
@@ -13,6 +17,7 @@
     lws_set_log_level(LLL_ERR, NULL);
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
     info.pt_serv_buf_size = 32 * 1024;
+    info.timeout_secs = WAIT_LIMIT_S;
     loop->lws = lws_create_context(&info);
     if (!loop->lws) {
         return Err_Set(err, CODE_SYSTEM, "cannot make the event loop");
