--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -39,6 +39,30 @@
 const struct policy *Enti_AgentPolicy(const struct entry *entry,
                                       const struct ent_peer *agent);
 
+/** Work out the values for one agent again. */
+void Enti_ResolveAgent(struct entry *entry, struct now now,
+                       struct ent_peer *agent);
+
+/** Work out the values for one service again. */
+void Enti_ResolveService(struct entry *entry, struct ent_service *service);
+
+/** Work out all values again. */
+void Enti_ResolveAll(struct entry *entry, struct now now);
+
+/** The part of `room` that a returning agent may be given by now. */
+uint32_t Enti_RampRoom(struct now now, const struct ent_peer *agent,
+                       uint32_t room);
+
+/* fresh.c */
+
+/** Tell a process what this one has applied. */
+void Enti_SendVersion(struct entry *entry, struct now now,
+                      struct ent_peer *peer);
+
+/** Take in what a process has applied. */
+void Enti_OnVersion(struct entry *entry, struct now now, struct ent_peer *peer,
+                    const struct msg_version *version);
+
 /* peer.c */
 
 /** Find a process by incarnation, NULL when it is not known. */
@@ -163,9 +187,12 @@
                     struct ent_task *task);
 
 /** Put a task back into the queue after a true refusal. */
-void Enti_Requeue(struct entry *entry, struct ent_job *job,
+void Enti_Requeue(struct entry *entry, struct now now, struct ent_job *job,
                   struct ent_task *task);
 
+/** Place what waits in every service. */
+void Enti_PlaceAll(struct entry *entry, struct now now);
+
 /** Free the slot that a task took at its agent. */
 void Enti_Release(struct entry *entry, const struct ent_job *job,
                   const struct ent_task *task);
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -101,8 +101,8 @@
 
 /* The task may have been run by an agent that cannot tell. */
 static void
-on_unknown(struct entry *entry, struct ent_job *job, struct ent_task *task,
-           enum code code)
+on_unknown(struct entry *entry, struct now now, struct ent_job *job,
+           struct ent_task *task, enum code code)
 {
     unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
     if ((job->flags & both) != both || job->unknowns >= ENT_MAX_UNKNOWN) {
@@ -111,12 +111,13 @@
     }
     job->unknowns++;
     job->maybe_ran = 1;
-    Enti_Requeue(entry, job, task);
+    Enti_Requeue(entry, now, job, task);
 }
 
 static void
-on_refused(struct entry *entry, struct ent_job *job, struct ent_task *task,
-           struct ent_peer *agent, const struct msg_result *result)
+on_refused(struct entry *entry, struct now now, struct ent_job *job,
+           struct ent_task *task, struct ent_peer *agent,
+           const struct msg_result *result)
 {
     const struct ent_issuer *issuer = Enti_FindIssuer(entry, job->key.issuer);
     /* Attempts are counted from new under each epoch. */
@@ -132,10 +133,10 @@
     }
     if (Code_Run(result->code) != CODE_NOT_RUN) {
         /* The agent has forgotten the key: it may have run the task. */
-        on_unknown(entry, job, task, result->code);
+        on_unknown(entry, now, job, task, result->code);
         return;
     }
-    Enti_Requeue(entry, job, task);
+    Enti_Requeue(entry, now, job, task);
     if (result->code == CODE_NO_SLOT) {
         agent->others = result->busy > agent->outstanding
                             ? result->busy - agent->outstanding
@@ -153,7 +154,7 @@
 {
     switch (result->state) {
     case TASK_REFUSED:
-        on_refused(entry, job, task, agent, result);
+        on_refused(entry, now, job, task, agent, result);
         break;
     case TASK_RUNNING:
         task->resend_us = now.us + RUNNING_RESEND_US;
@@ -163,7 +164,7 @@
         break;
     case TASK_FAILED:
         if (Code_Run(result->code) == CODE_UNKNOWN) {
-            on_unknown(entry, job, task, result->code);
+            on_unknown(entry, now, job, task, result->code);
         }
         else {
             fail_job(entry, job, task, result->code);
@@ -243,7 +244,8 @@
 }
 
 static void
-lose_job_tasks(struct entry *entry, struct ent_job *job, uint64_t agent)
+lose_job_tasks(struct entry *entry, struct now now, struct ent_job *job,
+               uint64_t agent)
 {
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
@@ -253,7 +255,7 @@
         if (task->state != ENT_SENT || task->agent != agent) {
             continue;
         }
-        on_unknown(entry, job, task, CODE_OUTCOME_UNKNOWN);
+        on_unknown(entry, now, job, task, CODE_OUTCOME_UNKNOWN);
     }
 }
 
@@ -265,7 +267,7 @@
     agent->leaving = 1;
     for (uint32_t i = entry->open_jobs; i-- > 0;) {
         if (i < entry->open_jobs && entry->open[i]->state == ENT_JOB_OPEN) {
-            lose_job_tasks(entry, entry->open[i], incarnation);
+            lose_job_tasks(entry, now, entry->open[i], incarnation);
         }
     }
     agent->outstanding = 0;
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -133,6 +133,7 @@
     MSG_TAKEN,
     MSG_HANDOVER,
     MSG_HANDED,
+    MSG_VERSION,
 };
 
 /** Heartbeat, both ways. */
@@ -269,6 +270,21 @@
     uint8_t last;
 };
 
+/** Age of a freshness that the sender does not have. */
+#define WIRE_NOT_FRESH UINT64_MAX
+
+/** Any to any: what the sender has applied. It answers the receiver's
+ * message of time `echo_us`, so it shows what was known after that. */
+struct msg_version {
+    uint64_t config;  /**< Version of the configuration. */
+    uint64_t members; /**< Version of the table service's rows; entries. */
+    uint64_t sent_us; /**< Sender's monotonic time. */
+    uint64_t echo_us; /**< Latest `sent_us` from the receiver, 0 for none. */
+    uint64_t age_us;  /**< Since the sender's configuration was known to be
+                           the newest; WIRE_NOT_FRESH for too long. */
+    uint8_t vouches;  /**< Has read the table service since it started. */
+};
+
 /** One message. */
 struct msg {
     enum msg_type type;
@@ -289,6 +305,7 @@
         struct msg_taken taken;
         struct msg_handover handover;
         struct msg_handed handed;
+        struct msg_version version;
     } u;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -190,6 +190,19 @@
     put_uint(pk, m->last);
 }
 
+static void
+put_version(msgpack_packer *pk, const struct msg_version *m)
+{
+    msgpack_pack_array(pk, 7);
+    put_uint(pk, MSG_VERSION);
+    put_uint(pk, m->config);
+    put_uint(pk, m->members);
+    put_uint(pk, m->sent_us);
+    put_uint(pk, m->echo_us);
+    put_uint(pk, m->age_us);
+    put_uint(pk, m->vouches);
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -264,6 +277,9 @@
     case MSG_HANDED:
         put_handed(pk, &msg->u.handed);
         break;
+    case MSG_VERSION:
+        put_version(pk, &msg->u.version);
+        break;
     }
 }
 
