--- a/shell/src/api.c
+++ b/shell/src/api.c
@@ -1,5 +1,6 @@
 #include "shell/api.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -255,6 +256,26 @@
     return root;
 }
 
+/* Bytes that are no UTF-8 text cannot be a JSON text: they go as base64. */
+static void
+set_output(json_t *item, struct bytes output)
+{
+    json_t *text = json_stringn(output.size ? output.data : "", output.size);
+    if (text) {
+        json_object_set_new(item, "output", text);
+        return;
+    }
+    size_t room =
+        sodium_base64_encoded_len(output.size, sodium_base64_VARIANT_ORIGINAL);
+    char *base64 = malloc(room);
+    if (base64) {
+        sodium_bin2base64(base64, room, output.data, output.size,
+                          sodium_base64_VARIANT_ORIGINAL);
+        json_object_set_new(item, "output_base64", json_string(base64));
+    }
+    free(base64);
+}
+
 static json_t *
 write_tasks(const struct answer *answer)
 {
@@ -263,10 +284,7 @@
         const struct answer_task *task = &answer->tasks[i];
         json_t *item = json_object();
         json_object_set_new(item, "no", json_integer(task->no));
-        json_object_set_new(
-            item, "output",
-            json_stringn(task->output.size ? task->output.data : "",
-                         task->output.size));
+        set_output(item, task->output);
         json_array_append_new(list, item);
     }
     return list;
