Replace a connection that is silent in one direction, too

Cause: each side replaced its own outgoing connection when it heard nothing, which mends a pair that is silent both ways; with only one way silent the wrong one was replaced, until the peer was given up. Each heartbeat carries the latest one that it answers, so the sender sees whether its own arrive. What is outstanding on a replaced connection is asked for soon after.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -104,6 +104,7 @@
     uint64_t heard_us;
     uint64_t link_us; /**< When the connection was last made. */
     uint64_t echo_us; /**< Entry's `sent_us` to echo. */
+    uint64_t back_us; /**< When the latest heartbeat that came back left. */
     uint64_t version; /**< Registry version that it has applied. */
     uint64_t ask_us;  /**< Its latest question, to be echoed. */
     UT_hash_handle hh;
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -72,6 +72,7 @@
     uint64_t heard_us; /**< 0 when never heard. */
     uint64_t link_us;
     uint64_t echo_us; /**< The peer's `sent_us` to echo. */
+    uint64_t back_us; /**< When the latest heartbeat that came back left. */
     uint64_t rtt_us;  /**< Latest round trip. */
     uint64_t version; /**< Registry version that it has applied. */
     uint8_t draining;
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -140,6 +140,9 @@
     switch (msg->type) {
     case MSG_BEAT:
         entry->echo_us = msg->u.beat.sent_us;
+        if (msg->u.beat.echo_us && msg->u.beat.echo_us <= now.us) {
+            entry->back_us = msg->u.beat.echo_us;
+        }
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
@@ -243,8 +246,9 @@
             drop_entry(agent, entry);
             continue;
         }
-        if (silent_us > LINK_SILENCE_US &&
-            now.us - entry->link_us > LINK_SILENCE_US) {
+        if (now.us - entry->link_us > LINK_SILENCE_US &&
+            (silent_us > LINK_SILENCE_US ||
+             now.us - entry->back_us > LINK_SILENCE_US)) {
             CTR_INC(agent->counters, links_replaced);
             link_entry(agent, now, entry);
         }
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -207,6 +207,9 @@
 void Enti_LoseAgent(struct entry *entry, struct now now,
                     struct ent_peer *agent);
 
+/** Ask an agent again for all that was sent to it, soon. */
+void Enti_AskAgain(struct entry *entry, struct now now, uint64_t agent);
+
 /** Tell agents that the job's answer has been read. */
 void Enti_SendRead(struct entry *entry, struct ent_job *job);
 
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -163,6 +163,7 @@
     peer->draining = beat->draining;
     if (beat->echo_us && beat->echo_us <= now.us) {
         peer->rtt_us = now.us - beat->echo_us;
+        peer->back_us = beat->echo_us;
     }
 }
 
@@ -232,6 +233,16 @@
     }
 }
 
+/* Either nothing comes from the peer, or it does not get what is sent. */
+static int
+is_link_silent(struct now now, const struct ent_peer *peer)
+{
+    uint64_t heard_us =
+        peer->back_us < peer->heard_us ? peer->back_us : peer->heard_us;
+    return now.us - peer->link_us > LINK_SILENCE_US &&
+           (heard_us > now.us || now.us - heard_us > LINK_SILENCE_US);
+}
+
 void
 Enti_BeatPeers(struct entry *entry, struct now now)
 {
@@ -239,10 +250,10 @@
     struct ent_peer *peer;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
         uint64_t silent_us = now.us - peer->heard_us;
-        if (silent_us > LINK_SILENCE_US &&
-            now.us - peer->link_us > LINK_SILENCE_US) {
+        if (is_link_silent(now, peer)) {
             CTR_INC(entry->counters, links_replaced);
             link_peer(entry, now, peer);
+            Enti_AskAgain(entry, now, peer->member.incarnation);
         }
         if (peer->heard_us && silent_us > AGENT_LOST_US &&
             peer->member.role == ROLE_AGENT) {
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -243,6 +243,23 @@
     }
 }
 
+void
+Enti_AskAgain(struct entry *entry, struct now now, uint64_t agent)
+{
+    uint64_t resend_us = now.us + BEAT_INTERVAL_US;
+    for (uint32_t i = 0; i < entry->open_jobs; i++) {
+        struct ent_job *job = entry->open[i];
+        for (uint32_t j = 0; j < job->task_count; j++) {
+            struct ent_task *task = &job->tasks[j];
+            if (task->state == ENT_SENT && task->agent == agent &&
+                task->resend_us > resend_us) {
+                task->resend_us = resend_us;
+                job->due_us = 0;
+            }
+        }
+    }
+}
+
 static void
 lose_job_tasks(struct entry *entry, struct now now, struct ent_job *job,
                uint64_t agent)
