Answer what is known before any refusal; never drop a fence

The table of epochs holds 32768 and keeps fences for good; when it is full of them the agent is silent.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -12,14 +12,12 @@
 #include "core/clock.h"
 #include "wire/msg.h"
 
-/** Most issuer numbers whose epochs an agent keeps. */
-#define AG_MAX_ISSUERS 4096
+/** Issuer numbers whose epochs an agent keeps, unless set otherwise. */
+#define AG_MAX_ISSUERS 32768
 /** Most entries that an agent talks to. */
 #define AG_MAX_ENTRIES 256
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
-/** An epoch above the first is kept at least this long after its last use. */
-#define AG_EPOCH_KEEP_US (25 * 3600ull * US_PER_S)
 /** An order to stop a task is given again after this. */
 #define AG_STOP_RETRY_US (1 * US_PER_S)
 /** A stopping agent offers its results again after this. */
@@ -32,9 +30,10 @@
 /** Settings of an agent. */
 struct ag_settings {
     uint64_t incarnation;
-    uint32_t task_capacity;  /**< Starts remembered at once. */
-    uint32_t key_lifetime_s; /**< Keys older than this are forgotten. */
-    uint8_t check_fresh;     /**< Start nothing unless fresh. */
+    uint32_t task_capacity;   /**< Starts remembered at once. */
+    uint32_t key_lifetime_s;  /**< Keys older than this are forgotten. */
+    uint32_t issuer_capacity; /**< 0 for AG_MAX_ISSUERS. */
+    uint8_t check_fresh;      /**< Start nothing unless fresh. */
 };
 
 /** What an upstream says of itself. */
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -10,6 +10,8 @@
 Ag_Init(struct agent *agent, const struct ag_settings *settings,
         struct act_sink sink, struct counters *counters)
 {
+    uint32_t issuers =
+        settings->issuer_capacity ? settings->issuer_capacity : AG_MAX_ISSUERS;
     memset(agent, 0, sizeof(*agent));
     agent->settings = *settings;
     agent->sink = sink;
@@ -18,7 +20,7 @@
                  settings->task_capacity) ||
         Tab_Init(&agent->jobs, sizeof(struct ag_job),
                  settings->task_capacity) ||
-        Tab_Init(&agent->issuers, sizeof(struct ag_issuer), AG_MAX_ISSUERS) ||
+        Tab_Init(&agent->issuers, sizeof(struct ag_issuer), issuers) ||
         Tab_Init(&agent->entries, sizeof(struct ag_entry), AG_MAX_ENTRIES)) {
         Ag_Finish(agent);
         return -1;
--- a/core/src/agent/record.c
+++ b/core/src/agent/record.c
@@ -117,20 +117,20 @@
 }
 
 /* Forgetting an issuer at epoch 1 is harmless: no lower epoch exists. A
- * higher one is a fence, which is kept until no owner can be left behind it.
- */
+ * higher one is a fence, which is kept: an owner behind it may wake at any
+ * time and issue new keys. */
 static int
-may_forget(struct now now, const struct ag_issuer *issuer)
+may_forget(const struct ag_issuer *issuer)
 {
-    return issuer->epoch.n <= 1 || now.us - issuer->used_us > AG_EPOCH_KEEP_US;
+    return issuer->epoch.n <= 1;
 }
 
 static void
-drop_oldest_issuer(struct agent *agent, struct now now)
+drop_oldest_issuer(struct agent *agent)
 {
     struct ag_issuer *oldest = NULL;
     for (struct ag_issuer *i = agent->issuer_index; i; i = i->hh.next) {
-        if (may_forget(now, i) && (!oldest || i->used_us < oldest->used_us)) {
+        if (may_forget(i) && (!oldest || i->used_us < oldest->used_us)) {
             oldest = i;
         }
     }
@@ -141,11 +141,11 @@
 }
 
 static struct ag_issuer *
-add_issuer(struct agent *agent, struct now now, uint64_t issuer)
+add_issuer(struct agent *agent, uint64_t issuer)
 {
     struct ag_issuer *added = Tab_Add(&agent->issuers);
     if (!added) {
-        drop_oldest_issuer(agent, now);
+        drop_oldest_issuer(agent);
         added = Tab_Add(&agent->issuers);
     }
     if (added) {
@@ -162,7 +162,7 @@
     struct ag_issuer *found;
     HASH_FIND(hh, agent->issuer_index, &issuer, sizeof(issuer), found);
     if (!found) {
-        found = add_issuer(agent, now, issuer);
+        found = add_issuer(agent, issuer);
     }
     if (!found) {
         CTR_INC(agent->counters, actions_dropped);
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -76,11 +76,15 @@
 
 /* A reason to refuse that never passes for this key, CODE_OK for none. */
 static enum code
-check_key(const struct agent *agent, const struct msg_start *start)
+check_key(const struct agent *agent, const struct msg_start *start,
+          enum code epoch)
 {
     if (start->key.issued_s <= agent->forgotten_s) {
         return CODE_KEY_EXPIRED;
     }
+    if (epoch != CODE_OK) {
+        return epoch;
+    }
     if (start->key.rv < agent->registered) {
         return CODE_KEY_TOO_OLD;
     }
@@ -151,11 +155,12 @@
  * again, when its owner asks for that by a new attempt. */
 static void
 meet_started(struct agent *agent, struct now now, uint64_t from,
-             const struct msg_start *start, struct ag_task *task)
+             const struct msg_start *start, struct ag_task *task,
+             enum code epoch)
 {
     unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
     int again = (start->flags & both) == both && task->state == TASK_FAILED;
-    if (again && !is_superseded(task, start)) {
+    if (again && epoch == CODE_OK && !is_superseded(task, start)) {
         start_task(agent, now, from, start, task);
         return;
     }
@@ -167,24 +172,20 @@
 Agi_OnStart(struct agent *agent, struct now now, uint64_t from,
             const struct msg_start *start)
 {
-    enum code code =
+    enum code epoch =
         Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch);
-    if (code == CODE_OLD_EPOCH) {
-        refuse(agent, from, start, code);
-        return;
-    }
     /* A refusal that cannot be remembered might be followed by a late copy
      * that is accepted: without memory for it there is no answer at all. */
-    if (code != CODE_OK) {
+    if (epoch == CODE_NO_MEMORY) {
         return;
     }
     struct ag_job *job = Agi_FindJob(agent, &start->key);
     struct ag_task *task = job ? Agi_FindTask(job, start->task) : NULL;
     if (task && task->state >= TASK_RUNNING) {
-        meet_started(agent, now, from, start, task);
+        meet_started(agent, now, from, start, task, epoch);
         return;
     }
-    code = check_key(agent, start);
+    enum code code = check_key(agent, start, epoch);
     if (code != CODE_OK) {
         refuse(agent, from, start, code);
         return;
--- a/tests/net.h
+++ b/tests/net.h
@@ -306,6 +306,7 @@
         .incarnation = node->head.from,
         .task_capacity = net->task_capacity,
         .key_lifetime_s = 300,
+        .issuer_capacity = 64,
     };
     struct act_sink sink = {net_emit, node};
     assert_int_equal(Ag_Init(&node->agent, &settings, sink, &net->counters),
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -1,6 +1,8 @@
 /* An agent alone: what it refuses, remembers, forgets and stops. */
 #include "net.h"
 
+#define ISSUERS 64
+
 static struct net net;
 static struct net_node *node;
 
@@ -201,6 +203,28 @@
     assert_int_equal(net.start_count, 1);
 }
 
+/* The owner was superseded; what it started is still told as started. */
+static void
+a_known_start_is_told_to_an_owner_behind_a_fence(void **state)
+{
+    (void)state;
+    node->run_ms = -1;
+    struct msg start = make_start(1, 1, 1);
+    struct msg fence = {.type = MSG_FENCE};
+    deliver(&start);
+    fence.u.fence.issuer = 77;
+    fence.u.fence.epoch = (struct epoch){2, 600};
+    deliver_from(600, &fence);
+    deliver(&start);
+    assert_int_equal(result.state, TASK_RUNNING);
+    assert_int_equal(result.epoch.n, 2);
+    /* Nor is a forgotten one refused as if it had never been started. */
+    struct msg other = make_start(2, 1, 1);
+    node->agent.forgotten_s = net.now.wall;
+    deliver(&other);
+    assert_int_equal(result.code, CODE_KEY_EXPIRED);
+}
+
 static void
 an_older_key_than_the_registration_is_refused(void **state)
 {
@@ -222,7 +246,7 @@
     fence.u.fence.issuer = 77;
     fence.u.fence.epoch = (struct epoch){2, 600};
     deliver_from(600, &fence);
-    for (uint64_t i = 0; i < 2ull * AG_MAX_ISSUERS; i++) {
+    for (uint64_t i = 0; i < 2ull * ISSUERS; i++) {
         struct msg start = make_start(1, 1, 1);
         start.u.start.key.issuer = 1000 + i;
         start.u.start.key.rv = 1;
@@ -241,13 +265,13 @@
 no_fence_is_dropped_for_another(void **state)
 {
     (void)state;
-    for (uint64_t i = 0; i <= AG_MAX_ISSUERS; i++) {
+    for (uint64_t i = 0; i <= ISSUERS; i++) {
         struct msg fence = {.type = MSG_FENCE};
         fence.u.fence.issuer = 1000 + i;
         fence.u.fence.epoch = (struct epoch){2, 600};
         deliver_from(600, &fence);
     }
-    assert_int_equal(fenced.issuer, 1000 + AG_MAX_ISSUERS - 1);
+    assert_int_equal(fenced.issuer, 1000 + ISSUERS - 1);
     uint32_t before = results;
     struct msg start = make_start(1, 1, 1);
     deliver(&start);
@@ -376,6 +400,7 @@
         AGENT_TEST(a_refusal_for_lack_of_memory_is_remembered),
         AGENT_TEST(a_full_memory_forgets_the_oldest_keys_by_the_watermark),
         AGENT_TEST(what_is_known_is_answered_after_its_key_expired),
+        AGENT_TEST(a_known_start_is_told_to_an_owner_behind_a_fence),
         AGENT_TEST(an_older_key_than_the_registration_is_refused),
         AGENT_TEST(a_fence_outlives_many_other_issuers),
         AGENT_TEST(no_fence_is_dropped_for_another),
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -661,6 +661,185 @@
     assert_int_not_equal(Code_Run(Net_Answer(&net, CONN(1))), CODE_NOT_RUN);
 }
 
+/* The taker of a range that has been fenced at all agents but not yet heard
+ * of all their records. */
+static struct net_node *
+begin_takeover(const struct key *key, conn_id conn)
+{
+    Net_Kill(entries[0]);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 4000);
+    for (int i = 0; i < 3; i++) {
+        agents[i]->asleep = 1;
+    }
+    Net_Submit(entries[1], conn, key, 4, 7, 0, 20000);
+    Net_Run(&net, 20);
+    return entries[1];
+}
+
+static struct msg
+record(const struct net_node *taker, const struct key *key, uint32_t report,
+       uint32_t index)
+{
+    struct msg msg = {.type = MSG_HELD};
+    struct ent_issuer *issuer;
+    uint64_t number = key->issuer;
+    HASH_FIND(hh, taker->entry.issuer_index, &number, sizeof(number), issuer);
+    msg.u.result.key = *key;
+    msg.u.result.epoch = issuer->epoch;
+    msg.u.result.task = index + 1;
+    msg.u.result.state = TASK_FINISHED;
+    msg.u.result.report = report;
+    msg.u.result.index = index;
+    return msg;
+}
+
+static struct msg
+report_end(const struct msg *held, uint32_t count)
+{
+    struct msg msg = {.type = MSG_FENCED};
+    msg.u.fenced.issuer = held->u.result.key.issuer;
+    msg.u.fenced.epoch = held->u.result.epoch;
+    msg.u.fenced.report = held->u.result.report;
+    msg.u.fenced.count = count;
+    return msg;
+}
+
+static int
+has_reported(struct net_node *taker, const struct key *key,
+             const struct net_node *agent)
+{
+    struct ent_issuer *issuer;
+    uint64_t number = key->issuer;
+    HASH_FIND(hh, taker->entry.issuer_index, &number, sizeof(number), issuer);
+    struct ent_fence *fence = issuer->fences;
+    while (fence && fence->agent != agent->head.from) {
+        fence = fence->next;
+    }
+    return fence && fence->answered && fence->received >= fence->expected;
+}
+
+static void
+a_record_counts_once_and_in_its_own_report(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct net_node *taker = begin_takeover(&key, CONN(1));
+    struct net_node *agent = agents[0];
+    struct msg first = record(taker, &key, 1, 0);
+    struct msg end = report_end(&first, 2);
+    for (int i = 0; i < 3; i++) {
+        Ent_OnMessage(&taker->entry, net.now, &agent->head, &first);
+    }
+    Ent_OnMessage(&taker->entry, net.now, &agent->head, &end);
+    assert_false(has_reported(taker, &key, agent));
+    /* A second report: the first one's record does not stand for its own. */
+    struct msg second = record(taker, &key, 2, 1);
+    end = report_end(&second, 2);
+    Ent_OnMessage(&taker->entry, net.now, &agent->head, &second);
+    Ent_OnMessage(&taker->entry, net.now, &agent->head, &end);
+    assert_false(has_reported(taker, &key, agent));
+    second = record(taker, &key, 2, 0);
+    Ent_OnMessage(&taker->entry, net.now, &agent->head, &second);
+    assert_true(has_reported(taker, &key, agent) ||
+                Net_Answer(&net, CONN(1)) != CODE_PENDING);
+}
+
+static void
+a_report_under_an_earlier_epoch_does_not_count(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct net_node *taker = begin_takeover(&key, CONN(1));
+    struct msg held = record(taker, &key, 1, 0);
+    held.u.result.epoch.n--;
+    struct msg end = report_end(&held, 0);
+    Ent_OnMessage(&taker->entry, net.now, &agents[0]->head, &held);
+    Ent_OnMessage(&taker->entry, net.now, &agents[0]->head, &end);
+    assert_false(has_reported(taker, &key, agents[0]));
+}
+
+/* The agent is registered at the key's own version. */
+static void
+the_newest_witness_is_waited_for(void **state)
+{
+    (void)state;
+    agents[2] = Net_AddAgent(&net, "w");
+    Net_Run(&net, 1500);
+    struct key key = Net_Key(entries[0]);
+    assert_int_equal(key.rv, agents[2]->member.registered);
+    agents[0]->run_ms = agents[1]->run_ms = agents[2]->run_ms = 300;
+    Net_Submit(entries[0], CONN(1), &key, 32, 7, 0, 30000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    agents[2]->asleep = 1;
+    Net_Submit(entries[1], CONN(2), &key, 32, 7, 0, 30000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_PENDING);
+    agents[2]->asleep = 0;
+    Net_Run(&net, 3000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* A job passed on ends here after its range has been collected here. */
+static void
+the_end_of_a_passed_on_job_keeps_what_agents_reported(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct key other = key;
+    other.seq += 500;
+    Net_Submit(entries[0], CONN(1), &key, 4, 7, 0, 30000);
+    Net_Run(&net, 200);
+    assert_int_equal(Net_Starts(&net, &key), 4);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 4000);
+    net.fate = part_entries;
+    Net_Submit(entries[1], CONN(2), &key, 4, 7, 0, 30000);
+    struct ent_job *job = entries[1]->entry.open[0];
+    conn_id handle = Tab_Handle(&entries[1]->entry.jobs, job);
+    job->resend_us = net.now.us + 60 * US_PER_S;
+    Net_Run(&net, 4000);
+    /* Another key of the range makes this entry take it over. */
+    Net_Submit(entries[1], CONN(3), &other, 1, 7, 0, 30000);
+    Net_Run(&net, 500);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(job->state, ENT_JOB_REMOTE);
+    struct msg late = {.type = MSG_ANSWER};
+    late.u.answer.answer.key = key;
+    late.u.answer.answer.code = CODE_OUTCOME_UNKNOWN;
+    late.u.answer.conn = handle;
+    Ent_OnMessage(&entries[1]->entry, net.now, &entries[0]->head, &late);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OUTCOME_UNKNOWN);
+    Net_Submit(entries[1], CONN(4), &key, 4, 7, 0, 30000);
+    Net_Run(&net, 2000);
+    assert_int_equal(Net_Answer(&net, CONN(4)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 4);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* The caller must not be told "not run": the first target may still run it. */
+static void
+a_refusal_after_another_target_is_not_final(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    net.fate = part_entries;
+    Net_Submit(entries[1], CONN(1), &key, 4, 7, 0, 30000);
+    struct ent_job *job = entries[1]->entry.open[0];
+    struct msg late = {.type = MSG_ANSWER};
+    late.u.answer.answer.key = key;
+    late.u.answer.answer.code = CODE_QUEUE_FULL;
+    late.u.answer.conn = Tab_Handle(&entries[1]->entry.jobs, job);
+    job->target = entries[2]->head.from;
+    job->rerouted = 1;
+    Ent_OnMessage(&entries[1]->entry, net.now, &entries[0]->head, &late);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_PENDING);
+    Ent_OnMessage(&entries[1]->entry, net.now, &entries[2]->head, &late);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_TRY_AGAIN);
+}
+
 static enum net_fate
 lose_asks(struct net *n, const struct net_node *from,
           const struct net_node *to, const struct msg *msg)
@@ -821,6 +1000,11 @@
         PATH_TEST(a_row_written_again_keeps_its_agent_a_witness),
         PATH_TEST(a_member_that_does_not_fit_makes_takeovers_uncertain),
         PATH_TEST(a_request_that_may_have_run_is_never_called_not_run),
+        PATH_TEST(a_record_counts_once_and_in_its_own_report),
+        PATH_TEST(a_report_under_an_earlier_epoch_does_not_count),
+        PATH_TEST(the_newest_witness_is_waited_for),
+        PATH_TEST(the_end_of_a_passed_on_job_keeps_what_agents_reported),
+        PATH_TEST(a_refusal_after_another_target_is_not_final),
         PATH_TEST(a_lost_question_is_asked_again),
         PATH_TEST(a_request_is_placed_again_only_when_idempotent),
         PATH_TEST(a_full_table_refuses_truly),
