--- a/tests/net.h
+++ b/tests/net.h
@@ -38,8 +38,9 @@
     struct agent agent;
     struct frame_head head;
     struct ent_member member;
-    int run_ms; /**< Run time of its tasks, -1 for ever. */
-    int fail;   /**< Tasks end with this code. */
+    int run_ms;  /**< Run time of its tasks, -1 for ever. */
+    int fail;    /**< Tasks end with this code. */
+    int leaving; /**< The upstream takes nothing new. */
 };
 
 /** A frame on its way. */
@@ -438,6 +439,7 @@
             .memory_mb = 1024,
             .cores = 8,
             .running = node->agent.busy + node->agent.calls,
+            .leaving = (uint8_t)node->leaving,
         };
         if (net->now.us / 1000 % 500 == 0) {
             Ag_OnAnnounce(&node->agent, net->now, &announce);
@@ -463,77 +465,6 @@
     }
 }
 
-NET_UNUSED static struct key
-Net_Key(struct net_node *entry)
-{
-    struct key key;
-    assert_int_equal(Ent_IssueKeys(&entry->entry, entry->net->now, 1, &key),
-                     CODE_OK);
-    return key;
-}
-
-/** Submit a job of `tasks` tasks; the inputs hold `body`. */
-NET_UNUSED static void
-Net_Submit(struct net_node *entry, conn_id conn, const struct key *key,
-           uint32_t tasks, uint32_t body, unsigned flags, uint32_t deadline_ms)
-{
-    static struct sub_task list[WIRE_MAX_TASKS];
-    struct submission sub = {
-        .key = *key,
-        .service = "finishing",
-        .kind = "buff-plan",
-        .deadline_ms = deadline_ms,
-        .priority = PRIO_NORMAL,
-        .flags = flags,
-        .task_count = tasks,
-        .tasks = list,
-    };
-    for (uint32_t i = 0; i < tasks; i++) {
-        list[i].no = i + 1;
-        list[i].input = (struct bytes){&body, sizeof(body)};
-    }
-    Ent_OnSubmit(&entry->entry, entry->net->now, conn, &sub);
-}
-
-/** Latest answer on a connection, CODE_PENDING when there is none. */
-NET_UNUSED static enum code
-Net_Answer(const struct net *net, conn_id conn)
-{
-    for (uint32_t i = net->reply_count; i-- > 0;) {
-        if (net->replies[i].conn == conn) {
-            return net->replies[i].code;
-        }
-    }
-    return CODE_PENDING;
-}
-
-NET_UNUSED static uint32_t
-Net_Starts(const struct net *net, const struct key *key)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < net->start_count; i++) {
-        count += net->starts[i].seq == key->seq;
-    }
-    return count;
-}
-
-/** Starts of a task beyond its first. */
-NET_UNUSED static uint32_t
-Net_Repeats(const struct net *net)
-{
-    uint32_t repeats = 0;
-    for (uint32_t i = 0; i < net->start_count; i++) {
-        for (uint32_t j = 0; j < i; j++) {
-            if (net->starts[i].seq == net->starts[j].seq &&
-                net->starts[i].task == net->starts[j].task) {
-                repeats++;
-                break;
-            }
-        }
-    }
-    return repeats;
-}
-
 NET_UNUSED static void
 Net_Finish(struct net *net)
 {
--- /dev/null
+++ b/tests/test_takeover.c
@@ -0,0 +1,438 @@
+/* What a new owner of a dead entry's keys knows, and what it must not start.
+ * The upstreams' log of starts is the witness. */
+#include "three.h"
+
+/* Only the agents can tell the taker what the first body was. */
+static void
+another_body_is_refused_after_the_owner_died(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 12, 7, 0, 20000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    Net_Run(&net, 4000);
+    Net_Submit(entries[1], CONN(2), &key, 30, 8, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_KEY_REUSED);
+    Net_Submit(entries[1], CONN(3), &key, 12, 7, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 12);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static void
+the_job_goes_on_after_its_owner_died(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 40, 7, 0, 20000);
+    Net_Run(&net, 20);
+    assert_true(Net_Starts(&net, &key) < 40);
+    Net_Kill(entries[0]);
+    Net_Submit(entries[1], CONN(2), &key, 40, 7, 0, 20000);
+    Net_Submit(entries[2], CONN(3), &key, 40, 7, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 40);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static void
+a_third_entry_takes_over_from_a_dead_taker(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    Net_Submit(entries[1], CONN(2), &key, 60, 7, 0, 30000);
+    Net_Submit(entries[2], CONN(3), &key, 60, 7, 0, 30000);
+    struct net_node *taker = NULL;
+    for (int i = 0; i < 8000 && !taker; i++) {
+        Net_Run(&net, 1);
+        taker = owner_of(&key);
+    }
+    assert_non_null(taker);
+    Net_Run(&net, 30);
+    Net_Kill(taker);
+    Net_Run(&net, 10000);
+    conn_id conn = taker == entries[1] ? CONN(3) : CONN(2);
+    assert_int_equal(Net_Answer(&net, conn), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* The owner sleeps through a takeover, wakes and goes on where it was. */
+static void
+a_stale_owner_starts_nothing_twice(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 20);
+    entries[0]->asleep = 1;
+    Net_Submit(entries[1], CONN(2), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    entries[0]->asleep = 0;
+    struct key late = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(3), &late, 4, 9, 0, 30000);
+    Net_Run(&net, 3000);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_OK);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 60);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* Entries that do not hear each other each think to be the taker. */
+static void
+takers_that_race_do_not_both_complete(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    net.fate = part_entries;
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 4000);
+    struct key second = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(2), &second, 60, 7, 0, 30000);
+    Net_Submit(entries[1], CONN(3), &second, 60, 7, 0, 30000);
+    Net_Submit(entries[2], CONN(4), &second, 60, 7, 0, 30000);
+    Net_Run(&net, 8000);
+    assert_int_equal(Net_Repeats(&net), 0);
+    net.fate = NULL;
+    Net_Run(&net, 8000);
+    for (uint32_t n = 1; n <= 4; n++) {
+        assert_int_equal(Net_Answer(&net, CONN(n)), CODE_OK);
+    }
+    assert_int_equal(Net_Starts(&net, &second), 60);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static void
+owner_and_agent_lost_together_leave_the_rest_uncertain(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 20000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    restart_agent(0);
+    Net_Submit(entries[1], CONN(2), &key, 60, 7, 0, 20000);
+    Net_Run(&net, 8000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OUTCOME_UNKNOWN);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* The row of the new incarnation alone tells a new entry of the loss. */
+static void
+an_entry_that_joins_later_knows_of_the_loss(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 20000);
+    Net_Run(&net, 20);
+    for (int i = 0; i < 3; i++) {
+        Net_Kill(entries[i]);
+    }
+    restart_agent(0);
+    struct net_node *late = Net_AddEntry(&net, "d");
+    Net_Run(&net, 3000);
+    Net_Submit(late, CONN(2), &key, 60, 7, 0, 20000);
+    Net_Run(&net, 4000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OUTCOME_UNKNOWN);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static enum net_fate
+hold_answers(struct net *n, const struct net_node *from,
+             const struct net_node *to, const struct msg *msg)
+{
+    (void)from;
+    (void)to;
+    return msg->type == MSG_ANSWER && n->knob ? NET_HOLD : NET_PASS;
+}
+
+/* An old owner's answer comes when its range has been collected here. */
+static void
+a_late_answer_does_not_make_the_taker_forget(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    net.fate = hold_answers;
+    net.knob = 1;
+    Net_Submit(entries[1], CONN(1), &key, 20, 7, 0, 3500);
+    Net_Run(&net, 300);
+    assert_int_equal(Net_Starts(&net, &key), 20);
+    Net_Kill(entries[0]);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 2500);
+    Net_Release(&net);
+    net.knob = 0;
+    Net_Run(&net, 3000);
+    Net_Submit(entries[1], CONN(2), &key, 20, 7, 0, 20000);
+    Net_Run(&net, 8000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 20);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static void
+a_cancellation_during_a_takeover_holds(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    for (int i = 0; i < 3; i++) {
+        agents[i]->run_ms = -1;
+    }
+    Net_Submit(entries[0], CONN(1), &key, 30, 7, 0, 60000);
+    Net_Run(&net, 50);
+    Net_Kill(entries[0]);
+    agents[2]->asleep = 1;
+    Net_Submit(entries[1], CONN(2), &key, 30, 7, 0, 60000);
+    Net_Run(&net, 5000);
+    struct net_node *taker = owner_of(&key);
+    assert_non_null(taker);
+    Ent_OnAsk(&taker->entry, net.now, CONN(3), &key, ASK_CANCEL);
+    agents[2]->asleep = 0;
+    Net_Run(&net, 5000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_JOB_CANCELLED);
+    for (int i = 0; i < 3; i++) {
+        assert_int_equal(agents[i]->agent.busy, 0);
+    }
+}
+
+static void
+a_deadline_while_collecting_is_uncertain(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 60000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    agents[1]->asleep = 1;
+    Net_Submit(entries[1], CONN(2), &key, 60, 7, 0, 8000);
+    Net_Run(&net, 8100);
+    enum code code = Net_Answer(&net, CONN(2));
+    assert_true(code == CODE_OUTCOME_UNKNOWN || code == CODE_OWNER_AWAY);
+    agents[1]->asleep = 0;
+    Net_Run(&net, 5000);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* Attempts are counted from new when a range is taken over again. */
+static void
+a_refusal_under_an_earlier_epoch_is_stale(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    for (int i = 0; i < 3; i++) {
+        agents[i]->run_ms = -1;
+    }
+    Net_Kill(entries[0]);
+    Net_Run(&net, 4000);
+    Net_Submit(entries[1], CONN(1), &key, 1, 7, 0, 60000);
+    Net_Run(&net, 500);
+    struct net_node *owner = owner_of(&key);
+    struct net_node *agent = runner(&key);
+    assert_int_equal(Net_Starts(&net, &key), 1);
+    leave_runners(&key);
+    struct msg msg =
+        refusal(&key, CODE_NO_SLOT, (struct epoch){1, entries[0]->head.from});
+    Ent_OnMessage(&owner->entry, net.now, &agent->head, &msg);
+    Net_Run(&net, 2000);
+    assert_int_equal(Net_Starts(&net, &key), 1);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_PENDING);
+}
+
+static void
+an_epoch_is_not_taken_twice(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Kill(entries[0]);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 4000);
+    Net_Submit(entries[1], CONN(1), &key, 1, 7, 0, 20000);
+    Net_Run(&net, 500);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_OK);
+    struct entry *entry = &entries[1]->entry;
+    uint64_t first = entry->epoch_n;
+    /* It forgets the range after a time without use. */
+    entry->next_age_us = net.now.us + 400 * US_PER_S;
+    net.now.us += 400 * US_PER_S;
+    Net_Run(&net, 2600);
+    Net_Submit(entries[1], CONN(2), &key, 1, 7, 0, 20000);
+    struct key other = key;
+    other.seq += 100;
+    Net_Submit(entries[1], CONN(3), &other, 1, 7, 0, 20000);
+    Net_Run(&net, 2000);
+    assert_true(entry->epoch_n > first);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* A row written again must not hide that the agent ran older keys. */
+static void
+a_row_written_again_keeps_its_agent_a_witness(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Submit(entries[0], CONN(1), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    for (int i = 0; i < 3; i++) {
+        struct ent_member row = agents[i]->member;
+        row.registered = ++net.version;
+        for (int j = 1; j < 3; j++) {
+            Ent_OnMember(&entries[j]->entry, net.now, &row);
+            Ent_OnVersion(&entries[j]->entry, net.now, net.version);
+        }
+    }
+    Net_Submit(entries[1], CONN(2), &key, 60, 7, 0, 30000);
+    Net_Run(&net, 8000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* Such a member cannot be fenced. */
+static void
+a_member_that_does_not_fit_makes_takeovers_uncertain(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    Net_Kill(entries[0]);
+    Net_Run(&net, 4000);
+    for (int i = 0; i < 40; i++) {
+        struct ent_member member = {.role = ROLE_AGENT,
+                                    .incarnation = 5000 + (uint64_t)i,
+                                    .registered = 1};
+        snprintf(member.node, sizeof(member.node), "extra-%d", i);
+        Ent_OnMember(&entries[1]->entry, net.now, &member);
+        Ent_OnMember(&entries[2]->entry, net.now, &member);
+    }
+    for (int i = 0; i < 40; i++) {
+        char name[WIRE_NAME_SIZE];
+        snprintf(name, sizeof(name), "extra-%d", i);
+        Ent_OnMemberGone(&entries[1]->entry, net.now, name, 1);
+        Ent_OnMemberGone(&entries[2]->entry, net.now, name, 1);
+    }
+    Net_Submit(entries[1], CONN(1), &key, 4, 7, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_OUTCOME_UNKNOWN);
+    assert_int_equal(Net_Starts(&net, &key), 0);
+}
+
+/* The agent is registered at the key's own version. */
+static void
+the_newest_witness_is_waited_for(void **state)
+{
+    (void)state;
+    agents[2] = Net_AddAgent(&net, "w");
+    Net_Run(&net, 1500);
+    struct key key = Net_Key(entries[0]);
+    assert_int_equal(key.rv, agents[2]->member.registered);
+    agents[0]->run_ms = agents[1]->run_ms = agents[2]->run_ms = 300;
+    Net_Submit(entries[0], CONN(1), &key, 32, 7, 0, 30000);
+    Net_Run(&net, 20);
+    Net_Kill(entries[0]);
+    agents[2]->asleep = 1;
+    Net_Submit(entries[1], CONN(2), &key, 32, 7, 0, 30000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_PENDING);
+    agents[2]->asleep = 0;
+    Net_Run(&net, 3000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* A job passed on ends here after its range has been collected here. */
+static void
+the_end_of_a_passed_on_job_keeps_what_agents_reported(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct key other = key;
+    other.seq += 500;
+    Net_Submit(entries[0], CONN(1), &key, 2, 7, 0, 30000);
+    Net_Run(&net, 200);
+    assert_int_equal(Net_Starts(&net, &key), 2);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 4000);
+    net.fate = part_entries;
+    Net_Submit(entries[1], CONN(2), &key, 2, 7, 0, 30000);
+    struct ent_job *job = entries[1]->entry.open[0];
+    conn_id handle = Tab_Handle(&entries[1]->entry.jobs, job);
+    job->resend_us = net.now.us + 60 * US_PER_S;
+    Net_Run(&net, 4000);
+    /* Another key of the range makes this entry take it over. */
+    Net_Submit(entries[1], CONN(3), &other, 1, 7, 0, 30000);
+    Net_Run(&net, 500);
+    assert_int_equal(Net_Answer(&net, CONN(3)), CODE_OK);
+    assert_int_equal(job->state, ENT_JOB_REMOTE);
+    struct msg late = {.type = MSG_ANSWER};
+    late.u.answer.answer.key = key;
+    late.u.answer.answer.code = CODE_OUTCOME_UNKNOWN;
+    late.u.answer.conn = handle;
+    Ent_OnMessage(&entries[1]->entry, net.now, &entries[0]->head, &late);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OUTCOME_UNKNOWN);
+    leave_runners(&key);
+    Net_Submit(entries[1], CONN(4), &key, 2, 7, 0, 30000);
+    Net_Run(&net, 2000);
+    assert_int_equal(Net_Answer(&net, CONN(4)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 2);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+/* The same when its deadline passes. */
+static void
+the_deadline_of_a_passed_on_job_keeps_what_agents_reported(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct key other = key;
+    other.seq += 500;
+    Net_Submit(entries[0], CONN(1), &key, 2, 7, 0, 30000);
+    Net_Run(&net, 200);
+    Net_Kill(entries[2]);
+    Net_Run(&net, 4000);
+    net.fate = part_entries;
+    Net_Submit(entries[1], CONN(2), &key, 2, 7, 0, 8000);
+    entries[1]->entry.open[0]->resend_us = net.now.us + 60 * US_PER_S;
+    Net_Run(&net, 4000);
+    Net_Submit(entries[1], CONN(3), &other, 1, 7, 0, 30000);
+    Net_Run(&net, 4500);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OWNER_AWAY);
+    leave_runners(&key);
+    Net_Submit(entries[1], CONN(4), &key, 2, 7, 0, 30000);
+    Net_Run(&net, 2000);
+    assert_int_equal(Net_Answer(&net, CONN(4)), CODE_OK);
+    assert_int_equal(Net_Starts(&net, &key), 2);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        PATH_TEST(another_body_is_refused_after_the_owner_died),
+        PATH_TEST(the_job_goes_on_after_its_owner_died),
+        PATH_TEST(a_third_entry_takes_over_from_a_dead_taker),
+        PATH_TEST(a_stale_owner_starts_nothing_twice),
+        PATH_TEST(takers_that_race_do_not_both_complete),
+        PATH_TEST(owner_and_agent_lost_together_leave_the_rest_uncertain),
+        PATH_TEST(an_entry_that_joins_later_knows_of_the_loss),
+        PATH_TEST(a_late_answer_does_not_make_the_taker_forget),
+        PATH_TEST(a_cancellation_during_a_takeover_holds),
+        PATH_TEST(a_deadline_while_collecting_is_uncertain),
+        PATH_TEST(a_refusal_under_an_earlier_epoch_is_stale),
+        PATH_TEST(an_epoch_is_not_taken_twice),
+        PATH_TEST(a_row_written_again_keeps_its_agent_a_witness),
+        PATH_TEST(a_member_that_does_not_fit_makes_takeovers_uncertain),
+        PATH_TEST(the_newest_witness_is_waited_for),
+        PATH_TEST(the_end_of_a_passed_on_job_keeps_what_agents_reported),
+        PATH_TEST(the_deadline_of_a_passed_on_job_keeps_what_agents_reported),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
