--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -45,7 +45,8 @@
 
 start_entry() { # number data_centre
   settings entry "entry-$1" "$2" $((BASE_PORT + 100 + $1)) $((BASE_PORT + 200 + $1)) >"$WORK/entry-$1.json"
-  start "entry-$1" "$BUILD/daemon/jacinthpickd" "$WORK/entry-$1.json"
+  # shellcheck disable=SC2086 # a command with its arguments
+  start "entry-$1" ${ENTRY_WRAP:-} "$BUILD/daemon/jacinthpickd" "$WORK/entry-$1.json"
 }
 
 start_agent() { # number data_centre
--- a/shell/include/shell/link.h
+++ b/shell/include/shell/link.h
@@ -27,6 +27,7 @@
     nng_socket socket;
     struct frame_out frame;
     int dirty;
+    struct link_peer *prev, *next; /**< In the list of the dirty. */
     UT_hash_handle hh;
 };
 
@@ -39,6 +40,7 @@
     struct key_secret secret;
     struct tab peers;
     struct link_peer *index;
+    struct link_peer *dirty; /**< List of those with a batch to send. */
     link_visit *visit;
     void *context;
     struct counters *counters;
--- a/shell/src/link.c
+++ b/shell/src/link.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "base/log.h"
 
@@ -163,13 +164,22 @@
     return 0;
 }
 
+static void
+set_clean(struct links *links, struct link_peer *peer)
+{
+    if (peer->dirty) {
+        DL_DELETE(links->dirty, peer);
+        peer->dirty = 0;
+    }
+}
+
 static void
 reset_frame(struct links *links, struct link_peer *peer)
 {
     Frame_Finish(&peer->frame);
     links->head.to = peer->incarnation;
     Frame_Init(&peer->frame, &links->head);
-    peer->dirty = 0;
+    set_clean(links, peer);
 }
 
 void
@@ -199,6 +209,7 @@
 {
     nng_close(peer->socket);
     Frame_Finish(&peer->frame);
+    set_clean(links, peer);
     HASH_DELETE(hh, links->index, peer);
     Tab_Remove(&links->peers, peer);
 }
@@ -238,7 +249,10 @@
         return;
     }
     Frame_Add(&peer->frame, msg);
-    peer->dirty = 1;
+    if (!peer->dirty) {
+        DL_APPEND(links->dirty, peer);
+        peer->dirty = 1;
+    }
     if (peer->frame.buffer.size >= BATCH_BYTES) {
         flush_peer(links, peer);
     }
@@ -247,12 +261,8 @@
 void
 Link_Flush(struct links *links)
 {
-    uint32_t slot = 0;
-    struct link_peer *peer;
-    while ((peer = Tab_Next(&links->peers, &slot))) {
-        if (peer->dirty) {
-            flush_peer(links, peer);
-        }
+    while (links->dirty) {
+        flush_peer(links, links->dirty);
     }
 }
 
