Count a loss from when every entry knows it; keep a started job's record

Cause: two faults found with the models. And room for a start was made by forgetting the oldest keys, the start's own among them: its record was dropped before the task began, so its outcome was never reported and its slot never freed. Conclusion: both are held by tests that fail without the change.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -250,7 +250,9 @@
     uint64_t applied_us;
     uint64_t store_us;  /**< When the last answered read was sent, 0: none. */
     uint64_t fresh_us;  /**< When it was known to be the newest. */
-    uint64_t lost_us;   /**< When a member was last lost or replaced. */
+    uint64_t lost_us;   /**< When a member was last lost or replaced, or the
+                             last entry was heard to know of it. */
+    uint64_t lost_rows; /**< Version of the rows that told of it. */
     uint32_t wall;      /**< Time at which expiry was last looked at. */
     uint8_t superseded; /**< The own row is gone: never fresh again. */
     uint8_t has_team_exceptions;
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -136,7 +136,10 @@
 start_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
+    /* Making room must not forget the job that it is made for. */
+    task->job->running++;
     enum code code = check_room(agent, now, start);
+    task->job->running--;
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
--- a/core/src/entry/fresh.c
+++ b/core/src/entry/fresh.c
@@ -148,6 +148,16 @@
     }
 }
 
+/* Whether the peer may not know of the last loss, and so may keep a lost
+ * member fresh. */
+static int
+is_unaware(const struct entry *entry, const struct ent_peer *peer)
+{
+    return peer->member.role == ROLE_ENTRY &&
+           peer->members < entry->conf.lost_rows &&
+           peer->member.registered < entry->conf.lost_rows;
+}
+
 void
 Enti_OnVersion(struct entry *entry, struct now now, struct ent_peer *peer,
                const struct msg_version *version)
@@ -157,7 +167,11 @@
         peer->config = version->config;
     }
     if (version->members > peer->members) {
+        int was_behind = is_unaware(entry, peer);
         peer->members = version->members;
+        if (was_behind && !is_unaware(entry, peer)) {
+            entry->conf.lost_us = now.us;
+        }
     }
     if (peer->member.role == ROLE_AGENT) {
         push_if_behind(entry, now, peer);
@@ -207,6 +221,7 @@
     struct ent_acks acks = {.entries = 1};
     uint32_t slot = 0;
     const struct ent_peer *peer;
+    int unaware = 0;
     int here = entry->version >= accept->rows &&
                config_version(entry) >= accept->config;
     acks.entries_acked = here != 0;
@@ -214,6 +229,7 @@
         uint32_t acked = Ent_HasAcked(peer, accept) != 0;
         if (peer->member.role == ROLE_ENTRY) {
             acks.entries++;
+            unaware |= is_unaware(entry, peer);
             acks.entries_acked += acked;
         }
         else {
@@ -226,7 +242,7 @@
         accept->majority_us = now.us;
     }
     int all = acks.entries_acked == acks.entries &&
-              acks.agents_acked == acks.agents &&
+              acks.agents_acked == acks.agents && !unaware &&
               (entry->conf.lost_us == 0 ||
                now.us - entry->conf.lost_us > FRESH_US + FRESH_MARGIN_US);
     acks.lapsed = accept->majority_us != 0 &&
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -70,6 +70,15 @@
     drop_peer(entry, now, peer);
 }
 
+static void
+note_lost(struct entry *entry, struct now now, uint64_t version)
+{
+    entry->conf.lost_us = now.us;
+    if (version > entry->conf.lost_rows) {
+        entry->conf.lost_rows = version;
+    }
+}
+
 /* The agent has been able to run tasks since its first registration, however
  * often its row is written again. */
 static void
@@ -91,7 +100,7 @@
     }
     if (peer) {
         lose_member(entry, now, peer, member->registered);
-        entry->conf.lost_us = now.us;
+        note_lost(entry, now, member->registered);
     }
     else if (member->replaced) {
         Enti_NoteLoss(entry, 0, member->registered);
@@ -122,7 +131,7 @@
     struct ent_peer *peer = find_node(entry, node);
     if (peer) {
         lose_member(entry, now, peer, version);
-        entry->conf.lost_us = now.us;
+        note_lost(entry, now, version);
     }
     else {
         Enti_NoteLoss(entry, 0, version);
--- /dev/null
+++ b/tests/test_findings.c
@@ -0,0 +1,144 @@
+/* Faults that the models or a reading against them found in the code. */
+#include "net.h"
+
+#define CAPACITY 64
+#define US(ms) ((uint64_t)(ms)*US_PER_MS)
+
+static struct net net;
+static struct net_node *node;
+static struct msg_result result;
+
+static void
+hear(void *context, const struct act *act)
+{
+    if (act->type != ACT_SEND) {
+        net_emit(context, act);
+    }
+    else if (act->u.send.msg->type == MSG_RESULT) {
+        result = act->u.send.msg->u.result;
+    }
+}
+
+static void
+start(uint32_t seq, uint32_t issued_s)
+{
+    struct frame_head head = {.from = 500, .role = ROLE_ENTRY};
+    struct msg msg = {.type = MSG_START};
+    msg.u.start.key.issuer = 77;
+    msg.u.start.key.rv = 9;
+    msg.u.start.key.seq = seq;
+    msg.u.start.key.issued_s = issued_s;
+    msg.u.start.epoch = (struct epoch){1, 500};
+    msg.u.start.task = 1;
+    msg.u.start.attempt = 1;
+    msg.u.start.deadline_ms = 10000;
+    msg.u.start.lease_ms = 1000;
+    Ag_OnMessage(&node->agent, net.now, &head, &msg);
+}
+
+/* The oldest key of all is the one for which room is made. */
+static void
+making_room_keeps_the_job_it_is_made_for(void **state)
+{
+    (void)state;
+    Net_Init(&net);
+    net.task_capacity = CAPACITY;
+    node = Net_AddAgentUnregistered(&net, "x");
+    node->agent.sink.emit = hear;
+    Net_Run(&net, 500);
+    Ag_OnRegistered(&node->agent, 5);
+    uint32_t wall = net.now.wall;
+    uint32_t limit = CAPACITY - CAPACITY / 16;
+    for (uint32_t i = 0; i < limit; i++) {
+        start(i + 1, wall + i);
+        Net_Run(&net, 100);
+    }
+    uint32_t before = net.start_count;
+    start(1000, wall - 1);
+    assert_int_equal(net.start_count, before + 1);
+    start(1000, wall - 1);
+    assert_int_equal(net.start_count, before + 1);
+    assert_int_equal(result.state, TASK_RUNNING);
+    Net_Finish(&net);
+}
+
+static struct entry entry;
+static struct counters counters;
+
+static void
+ignore(void *context, const struct act *act)
+{
+    (void)context;
+    (void)act;
+}
+
+static struct now
+at_ms(uint64_t ms)
+{
+    return (struct now){.us = US(ms), .wall = 1000};
+}
+
+static void
+meet(uint64_t incarnation, enum role role, const char *name, uint64_t version)
+{
+    struct ent_member member = {
+        .incarnation = incarnation, .role = role, .registered = version};
+    snprintf(member.node, sizeof(member.node), "%s", name);
+    Ent_OnMember(&entry, at_ms(1), &member);
+}
+
+static void
+hear_version(uint64_t ms, uint64_t from, uint64_t config, uint64_t members)
+{
+    struct frame_head head = {.from = from, .role = ROLE_ENTRY};
+    struct msg msg = {.type = MSG_VERSION};
+    msg.u.version.config = config;
+    msg.u.version.members = members;
+    Ent_OnMessage(&entry, at_ms(ms), &head, &msg);
+}
+
+/* An entry that does not know of a removal may keep the removed agent fresh
+ * long after this one has heard of it. */
+static void
+loss_counts_from_when_every_entry_knows_it(void **state)
+{
+    (void)state;
+    struct config config = {.version = 1};
+    struct ent_settings settings = {.incarnation = 1,
+                                    .job_capacity = 16,
+                                    .peer_capacity = 8,
+                                    .key_lifetime_s = 300,
+                                    .check_fresh = 1};
+    struct act_sink sink = {.emit = ignore};
+    assert_int_equal(Ent_Init(&entry, &settings, at_ms(1), sink, &counters),
+                     0);
+    meet(2, ROLE_ENTRY, "b", 2);
+    meet(3, ROLE_AGENT, "x", 3);
+    Ent_OnMemberGone(&entry, at_ms(1000), "x", 10);
+    Ent_OnVersion(&entry, at_ms(1000), 10);
+    Ent_OnConfig(&entry, at_ms(9000), &config, (struct bytes){"w", 1},
+                 (struct bytes){NULL, 0}, 0);
+    Ent_OnVersion(&entry, at_ms(9000), 11);
+    struct ent_accept accept = {.rows = 11, .config = 1};
+    hear_version(9001, 2, 1, 11);
+    assert_false(Ent_CheckAccept(&entry, at_ms(9002), &accept).accepted);
+    assert_false(Ent_CheckAccept(&entry, at_ms(11000), &accept).accepted);
+    assert_true(Ent_CheckAccept(&entry, at_ms(13000), &accept).accepted);
+    /* From then on acknowledgments are enough. */
+    config.version = 2;
+    accept = (struct ent_accept){.rows = 12, .config = 2};
+    Ent_OnVersion(&entry, at_ms(14000), 12);
+    hear_version(14001, 2, 2, 12);
+    assert_true(Ent_CheckAccept(&entry, at_ms(14002), &accept).accepted);
+    Ent_Finish(&entry);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(making_room_keeps_the_job_it_is_made_for),
+        cmocka_unit_test(loss_counts_from_when_every_entry_knows_it),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
