Close ten ways to start a task twice or to say "not run" falsely

Each line names what was wrong and what is done now.

- An agent whose clock jumped forgets a key it has run and refuses its starts as KEY_EXPIRED; the owner took that for "not run" and placed the task again.
It now fails the job.
- A late FENCE of a taker's former round was answered with the present epoch and no records, which counted as the report of the present round.
The agent no longer answers it.
- What an agent reported of a job that had been passed on was dropped with that job's answer.
A taker now collects for such jobs too.
- A late refusal of an older epoch matched the attempt of the present one.
Refusals now count only at the owner's epoch.
- Records held from an older round, or told twice, counted as received.
- NOT_ADMITTED and NO_MEMORY were answered without a record, so that a late copy of the start could still be taken.
The first is recorded, the second is no longer answered.
- A record whose output had been used was used again, empty, after the next takeover.
- A deadline or a cancellation said "not run" of an idempotent job whose agent was lost, of a job passed to two entries, of one collected with a witness missing, and of jobs of an entry that had been paused.
- A question after a key's expiry was answered with NO_SUCH_JOB, "not run".
- A superseded owner went on repeating its refusals after it had stepped down.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -96,6 +96,7 @@
 struct ent_held {
     struct ent_held *next;
     uint64_t agent;
+    uint64_t round; /**< Epoch of the takeover that it was reported to. */
     uint32_t task;
     enum task_state state;
     enum code code;
@@ -154,6 +155,7 @@
     struct ent_waiter *waiters;
     struct ent_held *held;
     uint8_t cancelled; /**< An agent knows that the key was cancelled. */
+    uint8_t uncertain; /**< Tasks may run or have run unseen from here. */
     uint64_t target;   /**< Entry that it was passed to. */
     uint64_t resend_us;
     struct ent_service *service;
@@ -197,8 +199,9 @@
     struct act_sink sink;
     struct counters *counters;
     uint64_t started_us;
-    uint64_t version;   /**< Registry version applied, 0 before the first. */
-    uint64_t last_loss; /**< Version of the latest loss of an agent. */
+    uint64_t handled_us; /**< Time of the latest event. */
+    uint64_t version;    /**< Registry version applied, 0 before the first. */
+    uint64_t last_loss;  /**< Version of the latest loss of an agent. */
     uint32_t forgotten_s;
     uint64_t random_count;
     struct tab peers;
--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -49,6 +49,11 @@
     if (Agi_AdoptEpoch(agent, now, fence->issuer, fence->epoch) == 0) {
         msg.u.fenced.count = report_starts(agent, from, fence->issuer);
     }
+    else if (Agi_Epoch(agent, fence->issuer).owner == fence->epoch.owner) {
+        /* A late copy from the owner's former round: its answer, without
+         * records, would be taken for the one to the present round. */
+        return;
+    }
     msg.u.fenced.issuer = fence->issuer;
     msg.u.fenced.epoch = Agi_Epoch(agent, fence->issuer);
     msg.u.fenced.forgotten_s = agent->forgotten_s;
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -49,6 +49,9 @@
 static enum code
 check_room(const struct agent *agent, const struct msg_start *start)
 {
+    if (agent->registered == 0) {
+        return CODE_NOT_ADMITTED;
+    }
     if (agent->draining || agent->upstream.leaving) {
         return CODE_OUT_OF_SERVICE;
     }
@@ -70,9 +73,6 @@
     if (start->key.issued_s <= agent->forgotten_s) {
         return CODE_KEY_EXPIRED;
     }
-    if (agent->registered == 0) {
-        return CODE_NOT_ADMITTED;
-    }
     if (start->key.rv < agent->registered) {
         return CODE_KEY_TOO_OLD;
     }
@@ -149,7 +149,9 @@
     }
     struct ag_task *task = find_or_add(agent, start);
     if (!task) {
-        refuse(agent, from, start, CODE_NO_MEMORY);
+        /* A refusal that cannot be recorded is not given: a late copy of
+         * the same start could still be taken. The owner sends it again. */
+        Ctr_Code(agent->counters, CODE_NO_MEMORY);
     }
     else if (task->state >= TASK_RUNNING) {
         CTR_INC(agent->counters, start_duplicate);
--- a/core/src/entry/ask.c
+++ b/core/src/entry/ask.c
@@ -4,8 +4,7 @@
 static void
 cancel_job(struct entry *entry, struct ent_job *job)
 {
-    int started =
-        job->waiting < job->task_count || job->state == ENT_JOB_COLLECTING;
+    int started = Enti_MayHaveRun(job) || job->state == ENT_JOB_COLLECTING;
     Enti_SendCancel(entry, job);
     Enti_Answer(entry, job, started ? CODE_JOB_CANCELLED : CODE_CANCELLED,
                 NULL);
@@ -61,7 +60,10 @@
     }
     const struct ent_issuer *issuer = Enti_FindIssuer(entry, key->issuer);
     if (issuer && issuer->state == ENT_ISSUER_OWN) {
-        if (what == ASK_CANCEL) {
+        if (Enti_IsExpired(entry, now, key)) {
+            Enti_Refuse(entry, from, conn, key, CODE_KEY_EXPIRED, NULL);
+        }
+        else if (what == ASK_CANCEL) {
             cancel_unknown(entry, from, conn, key);
         }
         else {
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -89,11 +89,30 @@
     }
 }
 
+/* While this process was paused its keys may have been taken over. */
+static void
+note_pause(struct entry *entry, struct now now)
+{
+    uint64_t pause_us = now.us - entry->handled_us;
+    uint32_t slot = 0;
+    struct ent_job *job;
+    entry->handled_us = now.us;
+    if (pause_us < LINK_SILENCE_US) {
+        return;
+    }
+    while ((job = Tab_Next(&entry->jobs, &slot))) {
+        if (job->state == ENT_JOB_OPEN) {
+            job->uncertain = 1;
+        }
+    }
+}
+
 void
 Ent_OnMessage(struct entry *entry, struct now now,
               const struct frame_head *head, const struct msg *msg)
 {
     struct ent_peer *peer = Enti_HearPeer(entry, now, head);
+    note_pause(entry, now);
     if (!peer) {
         return;
     }
@@ -153,8 +172,7 @@
     case ENT_JOB_COLLECTING:
         return CODE_OUTCOME_UNKNOWN;
     default:
-        return job->waiting == job->task_count ? CODE_DEADLINE_PASSED
-                                               : CODE_JOB_DEADLINE;
+        return Enti_MayHaveRun(job) ? CODE_JOB_DEADLINE : CODE_DEADLINE_PASSED;
     }
 }
 
@@ -243,6 +261,7 @@
 void
 Ent_OnTick(struct entry *entry, struct now now)
 {
+    note_pause(entry, now);
     if (now.us >= entry->next_beat_us) {
         entry->next_beat_us = now.us + BEAT_INTERVAL_US;
         Enti_BeatPeers(entry, now);
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -92,6 +92,12 @@
 /** Find or make a job. NULL when the table is full. */
 struct ent_job *Enti_AddJob(struct entry *entry, const struct key *key);
 
+/** True unless it is certain that no task of the job was started. */
+int Enti_MayHaveRun(const struct ent_job *job);
+
+/** Forget what agents reported of a job. */
+void Enti_DropHeld(struct ent_job *job);
+
 /** Forget a job. */
 void Enti_DropJob(struct entry *entry, struct ent_job *job);
 
@@ -130,6 +136,10 @@
 void Enti_Submit(struct entry *entry, struct now now, uint64_t from,
                  conn_id conn, const struct submission *sub);
 
+/** True for a key whose outcome may have been forgotten. */
+int Enti_IsExpired(const struct entry *entry, struct now now,
+                   const struct key *key);
+
 /** Open a job whose tasks may be started. */
 void Enti_OpenJob(struct entry *entry, struct now now, struct ent_job *job);
 
--- a/core/src/entry/issuer.c
+++ b/core/src/entry/issuer.c
@@ -126,6 +126,7 @@
             Enti_Unqueue(job);
             for (uint32_t i = 0; i < job->task_count; i++) {
                 if (job->tasks[i].state == ENT_SENT) {
+                    job->uncertain = 1;
                     Enti_Release(entry, job, &job->tasks[i]);
                     job->tasks[i].state = ENT_WAITING;
                 }
@@ -135,6 +136,11 @@
             job->resend_us = now.us;
             break;
         case ENT_JOB_ANSWERED:
+            /* The new owner may run what was refused here. */
+            if (Code_Run(job->code) == CODE_NOT_RUN) {
+                Enti_DropJob(entry, job);
+            }
+            break;
         case ENT_JOB_REMOTE:
             break;
         }
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -40,6 +40,12 @@
     return job;
 }
 
+int
+Enti_MayHaveRun(const struct ent_job *job)
+{
+    return job->uncertain || job->waiting < job->task_count;
+}
+
 static int
 is_unanswered(enum ent_job_state state)
 {
@@ -55,8 +61,8 @@
     job->state = state;
 }
 
-static void
-drop_held(struct ent_job *job)
+void
+Enti_DropHeld(struct ent_job *job)
 {
     while (job->held) {
         struct ent_held *held = job->held;
@@ -103,7 +109,7 @@
     Enti_SetState(entry, job, ENT_JOB_ANSWERED);
     Enti_Unqueue(job);
     drop_waiters(job);
-    drop_held(job);
+    Enti_DropHeld(job);
     drop_body(job);
     drop_tasks(job);
     HASH_DELETE(hh, entry->job_index, job);
@@ -305,7 +311,7 @@
         strncpy(job->detail, detail, sizeof(job->detail) - 1);
     }
     drop_body(job);
-    drop_held(job);
+    Enti_DropHeld(job);
     for (struct ent_waiter *w = job->waiters; w; w = w->next) {
         Enti_Reply(entry, job, w->entry, w->conn);
     }
--- a/core/src/entry/remote.c
+++ b/core/src/entry/remote.c
@@ -112,8 +112,13 @@
 void
 Enti_Route(struct entry *entry, struct now now, struct ent_job *job)
 {
+    uint64_t before = job->target;
     job->resend_us = now.us + SUBMIT_RESEND_US;
     job->target = Enti_OwnerOf(entry, now, job->key.issuer);
+    if (before != 0 && job->target != before) {
+        /* The former target may still run it. */
+        job->uncertain = 1;
+    }
     if (job->target == 0) {
         job->resend_us = now.us + BEAT_INTERVAL_US;
     }
@@ -168,7 +173,11 @@
         (answer->task_count != job->task_count || copy_answer(job, answer))) {
         return;
     }
+    enum code code = answer->code;
+    if (job->uncertain && Code_Run(code) == CODE_NOT_RUN) {
+        code = CODE_OWNER_AWAY;
+    }
     job->retry_after_ms = answer->retry_after_ms;
-    Enti_Answer(entry, job, answer->code, answer->detail);
+    Enti_Answer(entry, job, code, answer->detail);
     Enti_DropJob(entry, job);
 }
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -99,15 +99,31 @@
     }
 }
 
+/* Attempts are counted anew at each epoch: a refusal of a start that was sent
+ * at an older one may come late. */
+static int
+is_of_other_epoch(const struct entry *entry, const struct msg_result *result)
+{
+    const struct ent_issuer *issuer =
+        Enti_FindIssuer(entry, result->key.issuer);
+    return result->code == CODE_OLD_EPOCH || !issuer ||
+           Epoch_Compare(result->epoch, issuer->epoch) != 0;
+}
+
 static void
 on_refused(struct entry *entry, struct ent_job *job, struct ent_task *task,
            struct ent_peer *agent, const struct msg_result *result)
 {
-    if (result->attempt != task->attempt) {
+    if (result->attempt != task->attempt || is_of_other_epoch(entry, result)) {
         CTR_INC(entry->counters, result_stale);
         return;
     }
     Ctr_Code(entry->counters, result->code);
+    if (Code_Run(result->code) != CODE_NOT_RUN) {
+        /* The agent has forgotten the key: it may have run the task. */
+        fail_job(entry, job, task, result->code);
+        return;
+    }
     Enti_Requeue(entry, job, task);
     if (result->code == CODE_NO_SLOT) {
         agent->others = result->busy > agent->outstanding
@@ -196,6 +212,7 @@
             continue;
         }
         if (job->flags & SUB_IDEMPOTENT) {
+            job->uncertain = 1;
             Enti_Requeue(entry, job, task);
         }
         else {
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -3,8 +3,9 @@
 
 #include "entry_impl.h"
 
-static int
-is_expired(const struct entry *entry, struct now now, const struct key *key)
+int
+Enti_IsExpired(const struct entry *entry, struct now now,
+               const struct key *key)
 {
     uint64_t end = (uint64_t)key->issued_s + entry->settings.key_lifetime_s;
     return key->issued_s <= entry->forgotten_s || end < now.wall;
@@ -35,7 +36,7 @@
 {
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_Service(entry, job->service_name, 0);
-    if (job->waiting == job->task_count) {
+    if (!Enti_MayHaveRun(job)) {
         enum code code = check_new(entry, job);
         if (code != CODE_OK) {
             Enti_Answer(entry, job, code, job->service_name);
@@ -133,7 +134,7 @@
         meet_job(entry, now, job, from, conn, sub);
         return;
     }
-    if (is_expired(entry, now, &sub->key)) {
+    if (Enti_IsExpired(entry, now, &sub->key)) {
         Enti_Refuse(entry, from, conn, &sub->key, CODE_KEY_EXPIRED, NULL);
         return;
     }
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -72,6 +72,21 @@
     }
 }
 
+/* Jobs that were passed on are kept from now on, so that what agents report
+ * of them is not dropped with an answer from elsewhere. */
+static void
+collect_remote_jobs(struct entry *entry, uint64_t issuer)
+{
+    uint32_t slot = 0;
+    struct ent_job *job;
+    while ((job = Tab_Next(&entry->jobs, &slot))) {
+        if (job->key.issuer == issuer && job->state == ENT_JOB_REMOTE) {
+            job->uncertain |= job->target != 0;
+            Enti_SetState(entry, job, ENT_JOB_COLLECTING);
+        }
+    }
+}
+
 void
 Enti_TakeOver(struct entry *entry, struct now now, struct ent_issuer *issuer)
 {
@@ -82,6 +97,7 @@
     issuer->loss = entry->last_loss;
     issuer->used_us = now.us;
     Enti_DropFences(issuer);
+    collect_remote_jobs(entry, issuer->issuer);
     fence_agents(entry, now, issuer, entry->version);
 }
 
@@ -219,8 +235,12 @@
             fault = code;
         }
     }
-    if (uncertain && job->waiting > 0 && !(job->flags & SUB_IDEMPOTENT)) {
-        fault = CODE_OUTCOME_UNKNOWN;
+    Enti_DropHeld(job);
+    if (uncertain && job->waiting > 0) {
+        job->uncertain = 1;
+        if (!(job->flags & SUB_IDEMPOTENT)) {
+            fault = CODE_OUTCOME_UNKNOWN;
+        }
     }
     if (job->cancelled) {
         fault = CODE_JOB_CANCELLED;
@@ -278,12 +298,23 @@
     return copy;
 }
 
+static struct ent_held *
+find_held_at(const struct ent_job *job, uint32_t task, uint64_t agent)
+{
+    struct ent_held *held = job->held;
+    while (held && (held->task != task || held->agent != agent)) {
+        held = held->next;
+    }
+    return held;
+}
+
 static void
 keep_held(struct ent_job *job, const struct ent_peer *agent,
           const struct msg_result *result, struct ent_fence *fence)
 {
-    struct ent_held *held = find_held(job, result->task);
-    if (held && held->agent == agent->member.incarnation) {
+    struct ent_held *held =
+        find_held_at(job, result->task, agent->member.incarnation);
+    if (held) {
         free((void *)held->output.data);
     }
     else {
@@ -293,6 +324,10 @@
         }
         held->next = job->held;
         job->held = held;
+    }
+    /* A record counts once in a round, however often it comes. */
+    if (held->round != result->epoch.n) {
+        held->round = result->epoch.n;
         fence->received++;
     }
     held->agent = agent->member.incarnation;
@@ -311,7 +346,8 @@
 {
     struct ent_issuer *issuer = Enti_FindIssuer(entry, held->key.issuer);
     (void)now;
-    if (!issuer || issuer->state != ENT_ISSUER_TAKEN) {
+    if (!issuer || issuer->state != ENT_ISSUER_TAKEN ||
+        Epoch_Compare(held->epoch, issuer->epoch) != 0) {
         return;
     }
     struct ent_fence *fence = find_fence(issuer, agent->member.incarnation);
