Drive the real core by random schedules against its promises

Three entries and four agents run in one process. A seeded scheduler loses, repeats, delays and reorders their messages (through the real codec), crashes, restarts and pauses them, shifts their clocks, replaces and removes their registry rows, and lets registry reads lag, while callers submit, submit again elsewhere, ask and cancel. ACT_RUN is the witness of starts. On a failure the seed, the step and the key's trace are printed.

--- /dev/null
+++ b/tests/test_conform.c
@@ -0,0 +1,314 @@
+/* Runs worlds of the core over fixed seeds. CONFORM_SEEDS and CONFORM_STEPS
+ * in the environment run more; CONFORM_SEED runs one. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "conform/sim.h"
+
+#define DEFAULT_SEEDS 100
+#define DEFAULT_STEPS 30000
+/* Time by which the answers that are due have come once faults end. */
+#define GRACE_US (30 * US_PER_S)
+#define CONN_BIT (1ull << 63)
+
+static struct sim sim;
+
+static struct sim_node *
+pick_entry(void)
+{
+    return &sim.nodes[Sim_Random(&sim, SIM_ENTRIES)];
+}
+
+static struct sim_key *
+pick_key(void)
+{
+    uint32_t recent = sim.key_count < 20 ? sim.key_count : 20;
+    if (recent == 0) {
+        return NULL;
+    }
+    if (Sim_Chance(&sim, 50)) {
+        return &sim.keys[Sim_Random(&sim, sim.key_count)];
+    }
+    return &sim.keys[sim.key_count - 1 - Sim_Random(&sim, recent)];
+}
+
+static conn_id
+open_conn(const struct sim_node *node, const struct sim_key *key,
+          enum sim_what what, uint32_t deadline_ms)
+{
+    struct sim_conn *conn = &sim.conns[sim.conn_count];
+    memset(conn, 0, sizeof(*conn));
+    conn->key = (uint32_t)(key - sim.keys);
+    conn->node = node->index;
+    conn->incarnation = node->incarnation;
+    conn->what = what;
+    conn->begun = key->begun_all != 0;
+    conn->end_us = sim.us + deadline_ms * US_PER_MS + GRACE_US / 2;
+    return CONN_BIT | sim.conn_count++;
+}
+
+static void
+submit(struct sim_node *node, struct sim_key *key, int other_body)
+{
+    struct sub_task tasks[SIM_MAX_TASKS] = {0};
+    struct submission sub = {.key = key->key, .tasks = tasks};
+    if (sim.conn_count == SIM_MAX_CONNS) {
+        return;
+    }
+    for (uint32_t i = 0; i < key->tasks; i++) {
+        tasks[i].no = i + 1;
+        tasks[i].input = (struct bytes){other_body ? "b" : "a", 1};
+    }
+    memcpy(sub.service, "finishing", sizeof("finishing"));
+    sub.task_count = key->tasks;
+    sub.flags = key->flags;
+    sub.priority = PRIO_NORMAL;
+    sub.deadline_ms = 500 + (uint32_t)Sim_Random(&sim, 20000);
+    conn_id conn = open_conn(node, key, SIM_SUBMIT, sub.deadline_ms);
+    key->open++;
+    key->barred = 0;
+    Chk_Trace(&sim, &key->key, "caller submits at entry %u, %u tasks%s",
+              node->index, key->tasks, other_body ? ", another body" : "");
+    Ent_OnSubmit(&node->core.entry, Sim_Now(&sim, node), conn, &sub);
+}
+
+static void
+submit_new(struct sim_node *node)
+{
+    struct sim_key *key = &sim.keys[sim.key_count];
+    if (sim.key_count == SIM_MAX_KEYS) {
+        return;
+    }
+    memset(key, 0, sizeof(*key));
+    if (Ent_IssueKeys(&node->core.entry, Sim_Now(&sim, node), 1, &key->key)) {
+        return;
+    }
+    sim.key_count++;
+    key->tasks = 1 + (uint32_t)Sim_Random(&sim, SIM_MAX_TASKS);
+    if (Sim_Chance(&sim, 100)) {
+        key->flags = SUB_REQUEST;
+        key->tasks = 1;
+    }
+    if (Sim_Chance(&sim, 100)) {
+        key->flags |= SUB_IDEMPOTENT;
+    }
+    struct sim_node *other = pick_entry();
+    submit(Sim_IsAwake(&sim, other) ? other : node, key, 0);
+}
+
+static void
+ask(struct sim_node *node, const struct sim_key *key)
+{
+    enum ask what = Sim_Chance(&sim, 300) ? ASK_CANCEL : ASK_STATE;
+    if (sim.conn_count == SIM_MAX_CONNS) {
+        return;
+    }
+    conn_id conn = open_conn(node, key, SIM_ASK, 0);
+    Chk_Trace(&sim, &key->key, "caller asks entry %u%s", node->index,
+              what == ASK_CANCEL ? ", cancel" : "");
+    Ent_OnAsk(&node->core.entry, Sim_Now(&sim, node), conn, &key->key, what);
+}
+
+static void
+call(void)
+{
+    struct sim_node *node = pick_entry();
+    struct sim_key *key = pick_key();
+    uint64_t what = Sim_Random(&sim, 100);
+    if (!Sim_IsAwake(&sim, node)) {
+        return;
+    }
+    if (!key || what < 40) {
+        submit_new(node);
+    }
+    else if (what < 80) {
+        submit(node, key, 0);
+    }
+    else if (what < 82) {
+        submit(node, key, 1);
+    }
+    else if (what < 92) {
+        ask(node, key);
+    }
+    else if (key->complete) {
+        Ent_OnAnswerRead(&node->core.entry, Sim_Now(&sim, node), &key->key);
+    }
+}
+
+static void
+draw_faults(void)
+{
+    struct sim_faults *faults = &sim.faults;
+    faults->lose = Sim_Chance(&sim, 500) ? 0 : Sim_Random(&sim, 150);
+    faults->repeat = Sim_Random(&sim, 150);
+    faults->delay = Sim_Random(&sim, 100);
+    faults->crash = Sim_Chance(&sim, 300) ? 0 : Sim_Random(&sim, 400);
+    faults->pause = Sim_Chance(&sim, 300) ? 0 : Sim_Random(&sim, 600);
+    faults->jump = Sim_Chance(&sim, 700) ? 0 : Sim_Random(&sim, 100);
+    faults->remove = Sim_Random(&sim, 200);
+    faults->lag = Sim_Random(&sim, 300);
+}
+
+static void
+break_something(void)
+{
+    struct sim_node *node = &sim.nodes[Sim_Random(&sim, SIM_NODES)];
+    if (!node->up) {
+        if (Sim_Chance(&sim, sim.faults.remove)) {
+            Sim_RemoveRow(&sim, node);
+        }
+        return;
+    }
+    if (Sim_Chance(&sim, sim.faults.crash)) {
+        Sim_Crash(&sim, node);
+        return;
+    }
+    if (Sim_Chance(&sim, sim.faults.pause)) {
+        node->wake_us = sim.us + Sim_Random(&sim, 15 * US_PER_S);
+        Chk_Trace(&sim, NULL, "node %u pauses until %.3f s", node->index,
+                  (double)node->wake_us / (double)US_PER_S);
+    }
+    if (Sim_Chance(&sim, sim.faults.jump)) {
+        node->wall_jump = (int64_t)Sim_Random(&sim, 240) - 120;
+        Chk_Trace(&sim, NULL, "clock of node %u is off by %d s", node->index,
+                  (int)node->wall_jump);
+    }
+}
+
+static void
+advance(void)
+{
+    sim.step++;
+    sim.us += Sim_Random(&sim, 2 * US_PER_MS);
+    for (uint32_t i = 0; i < SIM_NODES; i++) {
+        struct sim_node *node = &sim.nodes[i];
+        if (!node->up && node->back_us <= sim.us) {
+            Sim_Boot(&sim, node);
+        }
+    }
+}
+
+static void
+step(void)
+{
+    advance();
+    uint64_t what = Sim_Random(&sim, 1000);
+    struct sim_node *node = &sim.nodes[Sim_Random(&sim, SIM_NODES)];
+    if (what < 600) {
+        Sim_Deliver(&sim);
+    }
+    else if (what < 900) {
+        if (Sim_IsAwake(&sim, node)) {
+            Sim_Tick(&sim, node);
+        }
+    }
+    else if (what < 960) {
+        Sim_EndRun(&sim);
+    }
+    else if (what < 995) {
+        call();
+    }
+    else {
+        break_something();
+    }
+}
+
+/* Faults end; every answer that is due must come. */
+static void
+settle(void)
+{
+    uint64_t end_us = sim.us + GRACE_US;
+    memset(&sim.faults, 0, sizeof(sim.faults));
+    while (sim.us < end_us && !sim.failed) {
+        advance();
+        struct sim_node *node = &sim.nodes[Sim_Random(&sim, SIM_NODES)];
+        node->wake_us = 0;
+        if (node->up) {
+            Sim_Tick(&sim, node);
+        }
+        for (int i = 0; i < 4; i++) {
+            Sim_Deliver(&sim);
+        }
+        Sim_EndRun(&sim);
+    }
+    Chk_AllAnswered(&sim);
+}
+
+static int
+run_seed(uint64_t seed, uint64_t steps)
+{
+    memset(&sim, 0, sizeof(sim));
+    Chk_Reset();
+    sim.seed = seed;
+    sim.random = seed;
+    draw_faults();
+    for (uint32_t i = 0; i < SIM_NODES; i++) {
+        sim.nodes[i].index = i;
+        Sim_Boot(&sim, &sim.nodes[i]);
+    }
+    while (sim.step < steps && !sim.failed) {
+        step();
+    }
+    settle();
+    Sim_Finish(&sim);
+    return sim.failed;
+}
+
+static uint64_t
+number_of(const char *name, uint64_t fallback)
+{
+    const char *text = getenv(name);
+    return text ? strtoull(text, NULL, 10) : fallback;
+}
+
+static void
+test_core_holds_over_seeds(void **state)
+{
+    uint64_t seeds = number_of("CONFORM_SEEDS", DEFAULT_SEEDS);
+    uint64_t steps = number_of("CONFORM_STEPS", DEFAULT_STEPS);
+    uint64_t first = number_of("CONFORM_SEED", 0);
+    uint64_t totals[7] = {0};
+    int failed = 0;
+    (void)state;
+    if (first) {
+        seeds = first;
+    }
+    for (uint64_t seed = first ? first : 1; seed <= seeds; seed++) {
+        failed += run_seed(seed, steps);
+        totals[0] += sim.step;
+        totals[1] += sim.starts;
+        totals[2] += sim.complete;
+        totals[3] += sim.not_run;
+        totals[4] += sim.unknown;
+        totals[5] += sim.takeovers;
+        totals[6] += sim.stale;
+    }
+    printf("conform: %llu steps, %llu starts, %llu complete, %llu not run, "
+           "%llu unknown, %llu takeovers, %llu stale refusals, "
+           "%d seeds failed\n",
+           (unsigned long long)totals[0], (unsigned long long)totals[1],
+           (unsigned long long)totals[2], (unsigned long long)totals[3],
+           (unsigned long long)totals[4], (unsigned long long)totals[5],
+           (unsigned long long)totals[6], failed);
+    assert_int_equal(failed, 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_core_holds_over_seeds),
+    };
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
