--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -10,22 +10,35 @@
 #include "base/tab.h"
 #include "core/act.h"
 #include "core/clock.h"
+#include "core/config.h"
 #include "core/policy.h"
 #include "wire/msg.h"
 
 /** Issuer numbers that an entry spreads its keys over. */
 #define ENT_OWN_ISSUERS 8
+/** Questions to other entries that wait for an answer at once. */
+#define ENT_MAX_ASKS 4096
+/** Times that a request is placed again after an unknown outcome. */
+#define ENT_MAX_UNKNOWN 3
 /** Most keys issued in one call. */
 #define ENT_MAX_KEYS 1000
 
+/** How an entry decides; the baseline is there to be measured against. */
+enum ent_mode {
+    ENT_STANDARD = 0,
+    ENT_BASELINE, /**< Random placement, no admission limit, fixed retries. */
+};
+
 /** Settings of an entry. */
 struct ent_settings {
+    enum ent_mode mode;
     uint64_t incarnation;
     char dc[WIRE_NAME_SIZE];
     uint32_t job_capacity;   /**< Jobs known at once, answered ones too. */
     uint32_t peer_capacity;  /**< Members known at once. */
     uint32_t key_lifetime_s; /**< Answers and keys are kept this long. */
     unsigned char seed[16];  /**< For random numbers. */
+    uint8_t check_fresh;     /**< Place nothing unless fresh. */
 };
 
 /** A row of the registry. */
@@ -35,6 +48,8 @@
     uint64_t incarnation;
     char addr[WIRE_ADDR_SIZE];
     char dc[WIRE_NAME_SIZE];
+    char region[WIRE_NAME_SIZE];
+    char rack[WIRE_NAME_SIZE];
     uint64_t registered; /**< Version of the row. */
     uint8_t replaced;    /**< The row replaced another incarnation. */
 };
@@ -46,6 +61,7 @@
     struct ent_peer *agents;
     struct ent_job *queue[PRIO_COUNT]; /**< Jobs with waiting tasks. */
     uint32_t waiting;                  /**< Tasks waiting in the queues. */
+    struct policy policy;              /**< In force for the service. */
     UT_hash_handle hh;
 };
 
@@ -69,7 +85,19 @@
     uint32_t outstanding; /**< Task slots taken by this entry's tasks. */
     uint32_t calls;       /**< This entry's requests there. */
     uint32_t others;      /**< Slots taken by others, as last reported. */
+    struct policy policy; /**< In force for tasks that run there. */
+    uint64_t config;      /**< Configuration that it has applied. */
+    uint64_t members;     /**< Rows that it has applied; entries. */
+    uint64_t ask_us;      /**< Its latest question, to be echoed. */
+    uint64_t vouch_us;    /**< When the question was sent that its latest
+                               vouching answered, 0 for none. */
+    uint64_t push_us;     /**< When state was last sent to it. */
+    uint64_t met_us;      /**< When it became known here. */
+    uint64_t return_us;   /**< When it came back into service, 0 for never. */
+    uint8_t is_out;       /**< Out of service or said to be leaving. */
+    uint8_t says_leaving; /**< What the agent last said. */
     UT_hash_handle hh;
+    UT_hash_handle node_hh; /**< By the node's name. */
 };
 
 /** What an entry knows of a task of its job. */
@@ -96,7 +124,6 @@
 struct ent_held {
     struct ent_held *next;
     uint64_t agent;
-    uint64_t round; /**< Epoch of the takeover that it was reported to. */
     uint32_t task;
     enum task_state state;
     enum code code;
@@ -148,16 +175,23 @@
     uint32_t open;    /**< Tasks not in ENT_DONE. */
     uint32_t next_waiting;
     uint8_t queued;
-    uint8_t read; /**< A caller has read the answer. */
+    uint64_t not_before_us; /**< Its tasks are not placed before this. */
+    uint8_t read;           /**< A caller has read the answer. */
     enum code code;
     char detail[WIRE_ADDR_SIZE];
     uint32_t retry_after_ms;
     struct ent_waiter *waiters;
     struct ent_held *held;
-    uint8_t cancelled; /**< An agent knows that the key was cancelled. */
-    uint8_t uncertain; /**< Tasks may run or have run unseen from here. */
-    uint64_t target;   /**< Entry that it was passed to. */
+    uint64_t held_hash; /**< Body hash that agents reported, 0 for none. */
+    uint8_t cancelled;  /**< An agent knows that the key was cancelled. */
+    uint8_t maybe_ran;  /**< A waiting task may have been run before. */
+    uint8_t rerouted;   /**< More than one entry may act on it. */
+    uint8_t handed;     /**< The successor has its answer. */
+    uint8_t unknowns;   /**< Times placed again after an unknown outcome. */
+    uint64_t target;    /**< Entry that it was passed to. */
     uint64_t resend_us;
+    uint64_t due_us;     /**< No start has to be sent again before this. */
+    uint32_t open_index; /**< Place in the entry's list of open jobs. */
     struct ent_service *service;
     struct ent_job *prev, *next; /**< In the service's queue. */
     UT_hash_handle hh;
@@ -173,9 +207,12 @@
 /** An agent that a takeover has to hear. */
 struct ent_fence {
     struct ent_fence *next;
-    uint64_t agent; /**< Incarnation. */
-    uint32_t expected;
-    uint32_t received;
+    uint64_t agent;      /**< Incarnation. */
+    uint32_t report;     /**< Number of the report being taken in. */
+    uint32_t expected;   /**< Records in the report. */
+    uint32_t received;   /**< Different records of it that came. */
+    unsigned char *seen; /**< Bit for each record that came, owned. */
+    uint32_t seen_size;  /**< Bytes of `seen`. */
     uint32_t forgotten_s;
     uint8_t answered;
     uint64_t resend_us;
@@ -193,19 +230,62 @@
     UT_hash_handle hh;
 };
 
+/** A caller's question that another entry is to answer. */
+struct ent_ask {
+    struct tab_row row;
+    struct key key;
+    enum ask what;
+    conn_id conn;
+    uint64_t resend_us;
+    uint64_t end_us; /**< Given up then. */
+    UT_hash_handle hh;
+};
+
+/** Configuration that an entry has applied. */
+struct ent_conf {
+    const struct config *config; /**< Borrowed; NULL before the first. */
+    struct bytes whole;          /**< Borrowed; as sent to agents. */
+    struct bytes diff;           /**< The same, from the version before. */
+    uint64_t applied_us;
+    uint64_t store_us;  /**< When the last answered read was sent, 0: none. */
+    uint64_t fresh_us;  /**< When it was known to be the newest. */
+    uint64_t lost_us;   /**< When a member was last lost or replaced. */
+    uint32_t wall;      /**< Time at which expiry was last looked at. */
+    uint8_t superseded; /**< The own row is gone: never fresh again. */
+    uint8_t has_team_exceptions;
+};
+
+/** A committed change that waits to be accepted. */
+struct ent_accept {
+    uint64_t rows;        /**< Version of the rows that carry it. */
+    uint64_t config;      /**< Version of the configuration. */
+    uint64_t commit_us;   /**< When the commit was known. */
+    uint64_t majority_us; /**< When most entries had it, 0 for not yet. */
+};
+
+/** Who has taken a change in. */
+struct ent_acks {
+    uint32_t entries; /**< Registered entries, this one too. */
+    uint32_t entries_acked;
+    uint32_t agents;
+    uint32_t agents_acked;
+    uint8_t lapsed; /**< Whoever has not, has stopped starting tasks. */
+    uint8_t accepted;
+};
+
 /** The entry. */
 struct entry {
     struct ent_settings settings;
     struct act_sink sink;
     struct counters *counters;
     uint64_t started_us;
-    uint64_t handled_us; /**< Time of the latest event. */
-    uint64_t version;    /**< Registry version applied, 0 before the first. */
-    uint64_t last_loss;  /**< Version of the latest loss of an agent. */
+    uint64_t version;   /**< Registry version applied, 0 before the first. */
+    uint64_t last_loss; /**< Version of the latest loss of an agent. */
     uint32_t forgotten_s;
     uint64_t random_count;
     struct tab peers;
     struct ent_peer *peer_index;
+    struct ent_peer *node_index;
     struct tab services;
     struct ent_service *service_index;
     struct tab issuers;
@@ -215,12 +295,22 @@
     uint32_t next_seq;
     struct tab jobs;
     struct ent_job *job_index;
-    uint32_t open_jobs; /**< Jobs not yet answered. */
+    uint32_t open_jobs;    /**< Jobs not yet answered. */
+    struct ent_job **open; /**< These jobs, in no order. */
+    struct tab asks;
+    struct ent_ask *ask_index;
+    uint64_t epoch_n;     /**< Highest epoch that this entry has taken. */
+    uint64_t next_age_us; /**< When unused issuers are looked for. */
+    uint64_t successor;   /**< Entry that the ranges are handed to. */
+    uint64_t next_hand_us;
+    uint8_t alone; /**< No other entry could take the ranges. */
     uint64_t next_beat_us;
     uint64_t next_scan_us;
     uint32_t sweep_slot;
     uint8_t draining;
-    struct policy policy; /**< Fleet-wide values in force. */
+    struct policy policy;  /**< Fleet-wide values in force. */
+    struct policy scratch; /**< Values for a service and a team. */
+    struct ent_conf conf;
 };
 
 /** Make an entry on the caller's memory. Returns -1 for lack of memory. */
@@ -241,6 +331,33 @@
 /** All rows up to `version` have been handed in. */
 void Ent_OnVersion(struct entry *entry, struct now now, uint64_t version);
 
+/** A read of the table service that was sent at `asked_us` has been
+ * answered, and all that it brought has been handed in. */
+void Ent_OnRead(struct entry *entry, struct now now, uint64_t asked_us);
+
+/** A configuration is in force from now on. What is given is borrowed until
+ * the next call. `announce` tells all agents at once. */
+void Ent_OnConfig(struct entry *entry, struct now now,
+                  const struct config *config, struct bytes whole,
+                  struct bytes diff, int announce);
+
+/** Tell a process at once what this entry has applied. */
+void Ent_Acknowledge(struct entry *entry, struct now now, uint64_t to);
+
+/** True while this entry may start tasks. */
+int Ent_IsFresh(const struct entry *entry, struct now now);
+
+/** True when a majority of the registered entries vouched of late. */
+int Ent_HasMajority(const struct entry *entry, struct now now);
+
+/** True when a process has taken a change in. */
+int Ent_HasAcked(const struct ent_peer *peer, const struct ent_accept *accept);
+
+/** Where a change stands: accepted when most registered entries have it and
+ * every member has it or has stopped starting tasks. */
+struct ent_acks Ent_CheckAccept(const struct entry *entry, struct now now,
+                                struct ent_accept *accept);
+
 /** Issue `count` keys. Returns CODE_OK, CODE_NOT_FRESH before the registry
  * is known, CODE_DRAINING when stopping. */
 enum code Ent_IssueKeys(struct entry *entry, struct now now, uint32_t count,
@@ -269,7 +386,8 @@
 /** Stop gracefully: issue no keys, finish the jobs. */
 void Ent_Drain(struct entry *entry, struct now now);
 
-/** True when no job waits for its answer. */
+/** True when no job waits for its answer and, in a graceful stop, the keys
+ * have been handed to another entry or there is none. */
 int Ent_IsIdle(const struct entry *entry);
 
 #endif
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -2,6 +2,7 @@
 #include "core/agent.h"
 
 #include <string.h>
+#include <utlist.h>
 
 #include "agent_impl.h"
 
@@ -52,10 +53,16 @@
 Ag_OnAnnounce(struct agent *agent, struct now now,
               const struct ag_announce *announce)
 {
-    uint32_t ours = agent->busy;
+    /* The word was sent a moment ago, so tasks may have begun or ended since.
+     * What ran before this process can only become less. */
+    uint32_t least = announce->running;
+    least -= agent->least < least ? agent->least : least;
+    if (agent->announced_us == 0 || least < agent->foreign) {
+        agent->foreign = least;
+    }
     agent->upstream = *announce;
     agent->announced_us = now.us;
-    agent->foreign = announce->running > ours ? announce->running - ours : 0;
+    agent->least = agent->busy + agent->calls;
 }
 
 void
@@ -144,9 +151,15 @@
     case MSG_CANCEL:
         Agi_OnCancel(agent, now, &msg->u.cancel);
         break;
+    case MSG_TAKEN:
+        Agi_OnTaken(agent, &msg->u.taken);
+        break;
     case MSG_READ:
         Agi_OnRead(agent, &msg->u.read);
         break;
+    case MSG_VERSION:
+        Agi_OnVersion(agent, now, entry, &msg->u.version);
+        break;
     default:
         break;
     }
@@ -161,7 +174,11 @@
     else {
         agent->busy--;
     }
+    if (agent->busy + agent->calls < agent->least) {
+        agent->least = agent->busy + agent->calls;
+    }
     task->job->running--;
+    DL_DELETE2(agent->running, task, prev, following);
 }
 
 /* Report an output that is too large to be kept: it is sent this once. */
@@ -187,8 +204,23 @@
         return;
     }
     free_slot(agent, task);
+    if (code == CODE_TASK_FAILED && task->lapsed) {
+        code = CODE_LEASE_LAPSED;
+    }
+    else if (code == CODE_TASK_FAILED && task->stop_us) {
+        code = CODE_JOB_CANCELLED;
+    }
     task->code = code;
     task->run_us = run_us;
+    if (code == CODE_NO_UPSTREAM) {
+        task->state = TASK_REFUSED;
+        Agi_SendTask(agent, task->epoch.owner, MSG_RESULT, task);
+        return;
+    }
+    if (code == CODE_OUTCOME_UNKNOWN) {
+        /* It may go on running; the upstream's next word tells. */
+        agent->foreign++;
+    }
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
     CTR_INC(agent->counters, tasks_finished);
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
@@ -217,6 +249,22 @@
             link_entry(agent, now, entry);
         }
         Agi_SendStatus(agent, now, entry);
+        Agi_SendVersion(agent, now, entry);
+    }
+}
+
+static void
+check_leases(struct agent *agent, struct now now)
+{
+    struct ag_task *task;
+    DL_FOREACH2(agent->running, task, following)
+    {
+        if (now.us >= task->lease_end_us && !task->stop_us) {
+            task->lapsed = 1;
+        }
+        if (task->lapsed || task->stop_us) {
+            Agi_StopTask(agent, now, task);
+        }
     }
 }
 
@@ -231,6 +279,10 @@
         agent->next_beat_us = now.us + BEAT_INTERVAL_US;
         beat_entries(agent, now);
     }
+    check_leases(agent, now);
+    if (agent->draining) {
+        Agi_OfferResults(agent, now);
+    }
     Agi_Sweep(agent, now);
 }
 
@@ -238,11 +290,14 @@
 Ag_Drain(struct agent *agent, struct now now)
 {
     agent->draining = 1;
+    agent->drain_us = now.us;
     agent->next_beat_us = now.us;
+    agent->next_offer_us = now.us + AG_OFFER_INTERVAL_US;
+    agent->untaken = agent->tasks.used;
 }
 
 int
 Ag_IsIdle(const struct agent *agent)
 {
-    return agent->busy == 0 && agent->calls == 0;
+    return agent->busy == 0 && agent->calls == 0 && agent->untaken == 0;
 }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -1,5 +1,7 @@
 /* What an agent does with a start: the order of the checks is the order in
  * docs/DESIGN.md, section 2.2. */
+#include <utlist.h>
+
 #include "agent_impl.h"
 
 void
@@ -47,12 +49,18 @@
 
 /* A reason to refuse that may pass, CODE_OK for none. */
 static enum code
-check_room(const struct agent *agent, const struct msg_start *start)
+check_room(struct agent *agent, struct now now, const struct msg_start *start)
 {
     if (agent->registered == 0) {
         return CODE_NOT_ADMITTED;
     }
-    if (agent->draining || agent->upstream.leaving) {
+    if (!Agi_HasRoom(agent)) {
+        return CODE_NO_MEMORY;
+    }
+    if (!Ag_IsFresh(agent, now)) {
+        return CODE_NOT_FRESH;
+    }
+    if (agent->draining || agent->upstream.leaving || agent->is_out) {
         return CODE_OUT_OF_SERVICE;
     }
     if (agent->announced_us == 0) {
@@ -84,6 +92,11 @@
       const struct msg_start *start)
 {
     task->job->running++;
+    task->job->body_hash = start->body_hash;
+    DL_APPEND2(agent->running, task, prev, following);
+    task->stop_us = 0;
+    task->lapsed = 0;
+    task->taken = 0;
     task->epoch = start->epoch;
     task->attempt = start->attempt;
     task->state = TASK_RUNNING;
@@ -119,7 +132,7 @@
 start_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
-    enum code code = check_room(agent, start);
+    enum code code = check_room(agent, now, start);
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
@@ -134,28 +147,51 @@
     refuse(agent, from, start, code);
 }
 
+/* A task that was started before; only a request marked idempotent is run
+ * again, when its owner asks for that by a new attempt. */
+static void
+meet_started(struct agent *agent, struct now now, uint64_t from,
+             const struct msg_start *start, struct ag_task *task)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    int again = (start->flags & both) == both && task->state == TASK_FAILED;
+    if (again && !is_superseded(task, start)) {
+        start_task(agent, now, from, start, task);
+        return;
+    }
+    CTR_INC(agent->counters, start_duplicate);
+    Agi_SendTask(agent, from, MSG_RESULT, task);
+}
+
 void
 Agi_OnStart(struct agent *agent, struct now now, uint64_t from,
             const struct msg_start *start)
 {
-    if (Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch)) {
-        refuse(agent, from, start, CODE_OLD_EPOCH);
+    enum code code =
+        Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch);
+    if (code == CODE_OLD_EPOCH) {
+        refuse(agent, from, start, code);
+        return;
+    }
+    /* A refusal that cannot be remembered might be followed by a late copy
+     * that is accepted: without memory for it there is no answer at all. */
+    if (code != CODE_OK) {
+        return;
+    }
+    struct ag_job *job = Agi_FindJob(agent, &start->key);
+    struct ag_task *task = job ? Agi_FindTask(job, start->task) : NULL;
+    if (task && task->state >= TASK_RUNNING) {
+        meet_started(agent, now, from, start, task);
         return;
     }
-    enum code code = check_key(agent, start);
+    code = check_key(agent, start);
     if (code != CODE_OK) {
         refuse(agent, from, start, code);
         return;
     }
-    struct ag_task *task = find_or_add(agent, start);
+    task = find_or_add(agent, start);
     if (!task) {
-        /* A refusal that cannot be recorded is not given: a late copy of
-         * the same start could still be taken. The owner sends it again. */
-        Ctr_Code(agent->counters, CODE_NO_MEMORY);
-    }
-    else if (task->state >= TASK_RUNNING) {
-        CTR_INC(agent->counters, start_duplicate);
-        Agi_SendTask(agent, from, MSG_RESULT, task);
+        CTR_INC(agent->counters, actions_dropped);
     }
     else if (task->state == TASK_REFUSED && is_superseded(task, start)) {
         refuse(agent, from, start, CODE_OLD_ATTEMPT);
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -48,20 +48,16 @@
     Act_Emit(&entry->sink, &act);
     leave_service(peer);
     HASH_DELETE(hh, entry->peer_index, peer);
+    HASH_DELETE(node_hh, entry->node_index, peer);
     Tab_Remove(&entry->peers, peer);
 }
 
 static struct ent_peer *
 find_node(const struct entry *entry, const char *node)
 {
-    uint32_t slot = 0;
     struct ent_peer *peer;
-    while ((peer = Tab_Next(&entry->peers, &slot))) {
-        if (strcmp(peer->member.node, node) == 0) {
-            return peer;
-        }
-    }
-    return NULL;
+    HASH_FIND(node_hh, entry->node_index, node, strlen(node), peer);
+    return peer;
 }
 
 static void
@@ -74,19 +70,30 @@
     drop_peer(entry, now, peer);
 }
 
+/* The agent has been able to run tasks since its first registration, however
+ * often its row is written again. */
+static void
+note_registered(struct ent_peer *peer, uint64_t version)
+{
+    if (version != 0 && version < peer->member.registered) {
+        peer->member.registered = version;
+    }
+}
+
 void
 Ent_OnMember(struct entry *entry, struct now now,
              const struct ent_member *member)
 {
     struct ent_peer *peer = find_node(entry, member->node);
     if (peer && peer->member.incarnation == member->incarnation) {
-        peer->member.registered = member->registered;
+        note_registered(peer, member->registered);
         return;
     }
     if (peer) {
         lose_member(entry, now, peer, member->registered);
+        entry->conf.lost_us = now.us;
     }
-    else if (member->replaced && member->role == ROLE_AGENT) {
+    else if (member->replaced) {
         Enti_NoteLoss(entry, 0, member->registered);
     }
     if (member->incarnation == entry->settings.incarnation) {
@@ -94,11 +101,17 @@
     }
     peer = Tab_Add(&entry->peers);
     if (!peer) {
+        /* It cannot be fenced, so nothing taken over can be certain. */
+        Enti_NoteLoss(entry, 0, UINT64_MAX);
         return;
     }
     peer->member = *member;
+    HASH_ADD(node_hh, entry->node_index, member.node,
+             (unsigned)strlen(peer->member.node), peer);
+    peer->met_us = now.us;
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
+    Enti_ResolveAgent(entry, now, peer);
     link_peer(entry, now, peer);
 }
 
@@ -109,6 +122,7 @@
     struct ent_peer *peer = find_node(entry, node);
     if (peer) {
         lose_member(entry, now, peer, version);
+        entry->conf.lost_us = now.us;
     }
     else {
         Enti_NoteLoss(entry, 0, version);
@@ -164,6 +178,7 @@
     if (service) {
         memcpy(service->name, name, strlen(name) + 1);
         HASH_ADD_STR(entry->service_index, name, service);
+        Enti_ResolveService(entry, service);
     }
     return service;
 }
@@ -176,18 +191,24 @@
     if (status->service[0]) {
         service = Enti_Service(entry, status->service, 1);
     }
-    if (peer->service != service) {
+    int moved = peer->service != service;
+    if (moved) {
         leave_service(peer);
         peer->service = service;
         if (service) {
             DL_APPEND(service->agents, peer);
         }
     }
+    note_registered(peer, status->registered);
     peer->slots = status->slots;
     peer->connections = status->connections;
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
     peer->leaving = status->leaving;
+    if (moved || peer->says_leaving != status->leaving) {
+        peer->says_leaving = status->leaving;
+        Enti_ResolveAgent(entry, now, peer);
+    }
     peer->others = status->busy > peer->outstanding
                        ? status->busy - peer->outstanding
                        : 0;
@@ -205,6 +226,7 @@
     msg.u.beat.version = entry->version;
     msg.u.beat.draining = entry->draining;
     Act_Send(&entry->sink, peer->member.incarnation, &msg);
+    Enti_SendVersion(entry, now, peer);
     if (peer->member.role == ROLE_ENTRY) {
         Enti_SendIssuers(entry, peer->member.incarnation);
     }
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -45,6 +45,8 @@
         copy_name(incarnation, sizeof(incarnation), value, "incarnation")) {
         return -1;
     }
+    copy_name(member->region, sizeof(member->region), value, "region");
+    copy_name(member->rack, sizeof(member->rack), value, "rack");
     member->role = strcmp(role, "entry") == 0 ? ROLE_ENTRY : ROLE_AGENT;
     member->incarnation = strtoull(incarnation, NULL, 16);
     member->registered = version;
@@ -65,6 +67,16 @@
     registry->done(registry->context, version);
 }
 
+/* Whether the row that is written over may stand for an agent's memory. The
+ * row of a removed member may, as what it was is not known any more. */
+static int
+is_loss(const struct registry *registry, const json_t *value)
+{
+    const char *role = json_string_value(json_object_get(value, "role"));
+    return strcmp(registry->settings->role, "agent") == 0 || !role ||
+           strcmp(role, "entry") != 0;
+}
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
@@ -90,7 +102,7 @@
             continue;
         }
         registry->row_version = version;
-        registry->row_replaced = !json_is_null(value);
+        registry->row_replaced = is_loss(registry, value);
         if (Reg_ReadMember(&member, name, value, version) == 0 &&
             member.incarnation == registry->incarnation) {
             found_registered(registry, version);
@@ -127,7 +139,7 @@
         "checks", "key", key, "version", (json_int_t)registry->row_version,
         "writes", "key", key, "value", "node", settings->node, "role",
         settings->role, "incarnation", incarnation, "address",
-        settings->listen_internal, "http", settings->listen_http,
+        settings->public_internal, "http", settings->listen_http,
         "data_centre", settings->data_centre, "region", settings->region,
         "rack", settings->rack, "replaced", registry->row_replaced);
     registry->busy = 1;
