Fuzz every decoder that meets outside bytes

Two faults: an array that declares 4 Gi elements made the library ask for memory before it looked for them, so sizes are now checked against the bytes at hand first; and an empty text in a frame passed a null pointer on.

--- /dev/null
+++ b/fuzz/fuzz_addr.c
@@ -0,0 +1,22 @@
+/* Addresses, "ip:port". */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fuzz.h"
+#include "shell/httpd.h"
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    char text[WIRE_ADDR_SIZE * 2] = "";
+    char host[WIRE_ADDR_SIZE];
+    int port;
+    if (size < sizeof(text)) {
+        memcpy(text, data, size);
+        if (Hs_SplitAddr(text, host, sizeof(host), &port) == 0 &&
+            (port < 0 || port > 65535)) {
+            abort();
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_key.c
@@ -0,0 +1,28 @@
+/* The text of a key; with an odd first byte, one that was signed here. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fuzz.h"
+#include "wire/key.h"
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    struct key_secret secret = {{1}};
+    struct key key = {0};
+    struct key back;
+    struct err err = {0};
+    char text[2 * KEY_TEXT_SIZE] = "";
+    if (size > 0 && size < sizeof(text)) {
+        memcpy(text, data + 1, size - 1);
+    }
+    Key_Parse(&back, &secret, text, &err);
+    if (size > sizeof(key) && data[0] & 1) {
+        memcpy(&key, data + 1, sizeof(key));
+        Key_Format(&key, &secret, text);
+        if (Key_Parse(&back, &secret, text, &err) || !Key_Equal(&key, &back)) {
+            abort();
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/test_frame.c
@@ -0,0 +1,86 @@
+/* Frames whose bytes promise more than they hold. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "wire/frame.h"
+
+static const struct key_secret secret = {{1}};
+
+static void
+count_message(void *context, const struct frame_head *head,
+              const struct msg *msg)
+{
+    (void)head;
+    (void)msg;
+    (*(int *)context)++;
+}
+
+/* A frame of one heartbeat, with `tail` put behind it and all signed. */
+static int
+decode_with(const void *tail, size_t size, int *messages, struct err *err)
+{
+    struct frame_head head = {.from = 1, .role = ROLE_ENTRY};
+    struct msg msg = {.type = MSG_BEAT};
+    struct frame_out out;
+    Frame_Init(&out, &head);
+    Frame_Add(&out, &msg);
+    msgpack_sbuffer_write(&out.buffer, tail, size);
+    Frame_Seal(&out, &secret);
+    *messages = 0;
+    int status = Frame_Decode(out.buffer.data, out.buffer.size, &secret,
+                              count_message, messages, err);
+    Frame_Finish(&out);
+    return status;
+}
+
+static void
+test_sizes_beyond_the_frame_are_refused(void **state)
+{
+    static const char *const tails[] = {
+        "\xdd\xff\xff\xff\xff", /* array of 4 Gi elements */
+        "\xdc\xff\xff",         /* array of 65535 */
+        "\xc6\xff\xff\xff\xff", /* bytes, 4 GiB */
+        "\xdb\x10\x01\x01\x01", /* text */
+        "\xdf\xff\xff\xff\xff", /* a map, which no message has */
+        "\xdd\x01",             /* cut off */
+    };
+    (void)state;
+    for (size_t i = 0; i < sizeof(tails) / sizeof(tails[0]); i++) {
+        struct err err = {0};
+        int messages;
+        assert_int_equal(
+            decode_with(tails[i], strlen(tails[i]), &messages, &err), -1);
+        assert_int_equal(err.code, CODE_BAD_FRAME);
+        assert_int_equal(messages, 0);
+    }
+}
+
+static void
+test_a_frame_of_known_messages_passes(void **state)
+{
+    struct err err = {0};
+    int messages;
+    (void)state;
+    assert_int_equal(decode_with("", 0, &messages, &err), 0);
+    assert_int_equal(messages, 1);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_sizes_beyond_the_frame_are_refused),
+        cmocka_unit_test(test_a_frame_of_known_messages_passes),
+    };
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/wire/src/decode.c
+++ b/wire/src/decode.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "scan.h"
 #include "unpack.h"
 
 void *
@@ -112,6 +113,10 @@
     if (check_mac(data, size, secret, err)) {
         return -1;
     }
+    if (Scan_Sizes((const unsigned char *)data + KEY_MAC_SIZE,
+                   size - KEY_MAC_SIZE)) {
+        return Err_Set(err, CODE_BAD_FRAME, "sizes do not fit");
+    }
     if (!msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE)) {
         return Err_Set(err, CODE_NO_MEMORY, "no memory");
     }
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -51,7 +51,7 @@
 {
     const msgpack_object *object = take(c, MSGPACK_OBJECT_STR);
     out[0] = '\0';
-    if (!object) {
+    if (!object || object->via.str.size == 0) {
         return;
     }
     if (object->via.str.size >= size ||
