Wait for an answer as long as the call allows; TLS from the command line

Cause: a call that took longer than 5 s ended as not reachable, by a limit of the library: a change waiting to be accepted, a task of several seconds on its upstream. The command line had no TLS set up for its connections.

--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -9,6 +9,7 @@
 
 /* A kept connection that is idle this long is closed. */
 #define KEEP_WARM_S 20
+#define PATIENCE_US 2000000
 #define READ_SIZE 16384
 #define MAX_REPLY (16u << 20)
 
@@ -29,7 +30,9 @@
     int sent;
     unsigned char *reply;
     size_t reply_size;
+    uint32_t timeout_ms;
     lws_sorted_usec_list_t timeout;
+    lws_sorted_usec_list_t patience;
 };
 
 static void
@@ -47,6 +50,8 @@
     hc_done *done = lane->done;
     lws_sul_schedule(lane->httpc->loop->lws, 0, &lane->timeout, NULL,
                      LWS_SET_TIMER_USEC_CANCEL);
+    lws_sul_schedule(lane->httpc->loop->lws, 0, &lane->patience, NULL,
+                     LWS_SET_TIMER_USEC_CANCEL);
     free(lane->body);
     lane->body = NULL;
     lane->reply = NULL;
@@ -69,6 +74,17 @@
     finish_call(lane, 0);
 }
 
+/* The library gives a server 5 s to answer; the call's own limit counts. */
+static void
+on_patience(lws_sorted_usec_list_t *sul)
+{
+    struct hc_lane *lane = lws_container_of(sul, struct hc_lane, patience);
+    if (lane->wsi) {
+        lws_set_timeout(lane->wsi, PENDING_TIMEOUT_AWAITING_SERVER_RESPONSE,
+                        (int)(lane->timeout_ms / 1000 + 1));
+    }
+}
+
 static int
 add_header(struct lws *wsi, const char *name, const char *value,
            unsigned char **p, unsigned char *end)
@@ -211,7 +227,7 @@
 /* lws queues a call behind a busy connection of the same virtual host, so
  * each lane has its own. */
 static struct lws_vhost *
-make_vhost(struct loop *loop, struct hc_lane *lane, int index)
+make_vhost(struct loop *loop, struct hc_lane *lane, int index, int tls)
 {
     struct lws_context_creation_info info = {0};
     snprintf(lane->name, sizeof(lane->name), "lane%d", index);
@@ -219,11 +235,14 @@
     info.vhost_name = lane->name;
     info.protocols = protocols;
     info.timeout_secs = 30;
+    if (tls) {
+        info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    }
     return lws_create_vhost(loop->lws, &info);
 }
 
 static struct hc_lane *
-free_lane(struct httpc *httpc)
+free_lane(struct httpc *httpc, int tls)
 {
     for (uint32_t i = 0; i < httpc->lane_count; i++) {
         struct hc_lane *lane = &httpc->lanes[i];
@@ -232,7 +251,7 @@
         }
         if (!lane->vhost) {
             lane->httpc = httpc;
-            lane->vhost = make_vhost(httpc->loop, lane, (int)i);
+            lane->vhost = make_vhost(httpc->loop, lane, (int)i, tls);
         }
         return lane->vhost ? lane : NULL;
     }
@@ -266,7 +285,7 @@
 {
     char host[64];
     int port;
-    struct hc_lane *lane = free_lane(httpc);
+    struct hc_lane *lane = free_lane(httpc, call->tls);
     if (!lane || Hs_SplitAddr(call->addr, host, sizeof(host), &port) ||
         fill_lane(lane, call)) {
         return -1;
@@ -292,6 +311,9 @@
     info.opaque_user_data = lane;
     lws_sul_schedule(httpc->loop->lws, 0, &lane->timeout, on_timeout,
                      (lws_usec_t)(call->timeout_ms * US_PER_MS));
+    lane->timeout_ms = call->timeout_ms;
+    lws_sul_schedule(httpc->loop->lws, 0, &lane->patience, on_patience,
+                     PATIENCE_US);
     lane->wsi = lws_client_connect_via_info(&info);
     if (!lane->wsi) {
         finish_call(lane, 0);
