--- a/shell/src/config_json.c
+++ b/shell/src/config_json.c
@@ -422,7 +422,8 @@
     for (uint32_t i = 0; i < after->team_count; i++) {
         const struct cfg_team *team = &after->teams[i];
         const struct cfg_team *was = Cfg_FindTeam(before, team->name);
-        if (!was || memcmp(was, team, sizeof(*team)) != 0) {
+        if (!was || was->quota != team->quota ||
+            strcmp(was->token_hash, team->token_hash) != 0) {
             json_array_append_new(list, write_team(team, 0));
         }
     }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -47,8 +48,8 @@
                         .scope = scope,
                         .value = value,
                         .reason = "a reason"};
-    strcpy(op.name, name);
-    strcpy(op.setting, setting);
+    snprintf(op.name, sizeof(op.name), "%s", name);
+    snprintf(op.setting, sizeof(op.setting), "%s", setting);
     return op;
 }
 
@@ -156,7 +157,7 @@
         {.type = CFG_SET_TEAM, .name = "t", .token_hash = "abc"},
         {.type = CFG_REMOVE_TEAM, .name = "t"},
     };
-    strcpy(bad[8].reason, " \t");
+    snprintf(bad[8].reason, sizeof(bad[8].reason), " \t");
     bad[9].expires_s = WALL;
     other = config;
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -305,7 +305,7 @@
     (void)state;
     memset(world.store_cut, 1, sizeof(world.store_cut));
     world.nodes[2].is_paused = 1;
-    run_ms(3600 * 1000);
+    run_ms(3600ull * 1000);
     assert_true(is_fresh(0));
     assert_true(is_fresh(1));
     assert_true(is_fresh(3));
@@ -466,19 +466,26 @@
     assert_int_equal(agent->is_out, 1);
 }
 
+static struct ent_peer *
+find_agent(int index)
+{
+    uint32_t slot = 0;
+    struct ent_peer *agent = NULL;
+    do {
+        agent = Tab_Next(&world.nodes[0].entry.peers, &slot);
+        if (!agent) {
+            fail();
+            abort();
+        }
+    } while (agent->member.incarnation != world.nodes[index].incarnation);
+    return agent;
+}
+
 static void
 returning_agent_gets_its_slots_back_over_time(void **state)
 {
     (void)state;
-    struct node *node = &world.nodes[0];
-    struct ent_peer *agent = NULL;
-    uint32_t slot = 0;
-    while ((agent = Tab_Next(&node->entry.peers, &slot))) {
-        if (agent->member.incarnation == world.nodes[3].incarnation) {
-            break;
-        }
-    }
-    assert_non_null(agent);
+    struct ent_peer *agent = find_agent(3);
     struct cfg_exception *out = &world.stored.exceptions[0];
     world.stored.exception_count = 1;
     *out = (struct cfg_exception){.id = 1,
