--- /dev/null
+++ b/tests/test_settings_doc.c
@@ -0,0 +1,87 @@
+/* docs/CONFIGURATION.md lists every setting as the code has it. A failure
+ * prints the line that the page lacks. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/policy.h"
+#include "shell/settings.h"
+
+static char *
+read_page(void)
+{
+    size_t room = 1u << 20;
+    char *text = calloc(1, room);
+    FILE *file = fopen(JP_SOURCE_DIR "/docs/CONFIGURATION.md", "r");
+    assert_non_null(text);
+    assert_non_null(file);
+    assert_true(fread(text, 1, room - 1, file) > 0);
+    fclose(file);
+    return text;
+}
+
+static void
+check_line(const char *page, const char *line)
+{
+    if (!strstr(page, line)) {
+        fail_msg("the page lacks: %s", line);
+    }
+}
+
+static void
+page_lists_all_policy_settings(void **state)
+{
+    (void)state;
+    char *page = read_page();
+    for (int id = 0; id < POL_COUNT; id++) {
+        char line[512];
+        const struct policy_spec *spec = Pol_Spec(id);
+        snprintf(line, sizeof(line),
+                 "| `%s` | %s | %lld to %lld | %lld | %s |", spec->name,
+                 spec->unit, (long long)spec->least, (long long)spec->most,
+                 (long long)spec->fallback, spec->help);
+        check_line(page, line);
+    }
+    free(page);
+}
+
+static void
+page_lists_all_process_settings(void **state)
+{
+    (void)state;
+    char *page = read_page();
+    char *text = NULL;
+    size_t size = 0;
+    FILE *out = open_memstream(&text, &size);
+    assert_non_null(out);
+    Set_Describe(out);
+    fclose(out);
+    char *rest = text;
+    char *row;
+    while ((row = strsep(&rest, "\n")) && *row) {
+        char line[512];
+        const char *name = strsep(&row, "\t");
+        const char *allowed = strsep(&row, "\t");
+        const char *fallback = strsep(&row, "\t");
+        snprintf(line, sizeof(line), "| `%s` | `%s` | %s | %s |", name,
+                 allowed, fallback, row);
+        check_line(page, line);
+    }
+    free(text);
+    free(page);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(page_lists_all_policy_settings),
+        cmocka_unit_test(page_lists_all_process_settings),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
