--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -15,6 +15,9 @@
 #include "shell/link.h"
 #include "shell/registry.h"
 
+/* An agent that is not fresh looks for its own row this often. */
+#define VERIFY_US (10 * US_PER_S)
+
 struct agent_daemon {
     const struct settings *settings;
     struct counters counters;
@@ -30,6 +33,7 @@
     char upstream_addr[WIRE_ADDR_SIZE];
     struct loop_timer tick;
     struct loop_timer poll;
+    uint64_t next_verify_us;
     uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
     uint64_t idle_us; /* Since when there is nothing left to do. */
 };
@@ -185,7 +189,16 @@
 on_poll(void *context)
 {
     struct agent_daemon *daemon = context;
+    struct now now = Loop_Now();
     Reg_Step(&daemon->registry);
+    /* Entries tell an agent nothing once its row is gone. */
+    if (Ag_IsFresh(&daemon->core, now)) {
+        daemon->next_verify_us = now.us + VERIFY_US;
+    }
+    else if (now.us >= daemon->next_verify_us) {
+        daemon->next_verify_us = now.us + VERIFY_US;
+        Reg_Verify(&daemon->registry);
+    }
 }
 
 static void
@@ -203,7 +216,8 @@
     if (Stop_Count() > 1) {
         Loop_Stop(&daemon->loop);
     }
-    if (Stop_Count() == 1 && !daemon->stop_us) {
+    int stop = Stop_Count() == 1 || daemon->registry.lost;
+    if (stop && !daemon->stop_us) {
         LOG_INFO("agent", "Stopping: no new tasks, %u to finish.",
                  daemon->core.busy + daemon->core.calls);
         daemon->stop_us =
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -330,7 +330,8 @@
     if (Stop_Count() > 1) {
         Loop_Stop(&daemon->loop);
     }
-    if (Stop_Count() == 1 && !daemon->stop_us) {
+    int stop = Stop_Count() == 1 || daemon->core.conf.superseded;
+    if (stop && !daemon->stop_us) {
         LOG_INFO("entry", "Stopping: no new keys, %u jobs to finish.",
                  daemon->core.open_jobs);
         daemon->stop_us =
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -21,6 +21,8 @@
     uint64_t row_version; /**< Of the row that the own one replaces. */
     uint64_t registered;  /**< Version of the own row, 0 before it. */
     int row_replaced;
+    int lost; /**< The own row was replaced or removed. */
+    int verifying;
     int busy;
     reg_done *done;
     void *context;
@@ -35,6 +37,9 @@
  * and again until `registered` is set. */
 void Reg_Step(struct registry *registry);
 
+/** Look whether the own row is still there; sets `lost` when it is not. */
+void Reg_Verify(struct registry *registry);
+
 /** Read a member from a row's value. Returns -1 when it is not one. */
 int Reg_ReadMember(struct ent_member *member, const char *key,
                    const json_t *value, uint64_t version);
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -160,3 +160,34 @@
     registry->busy = 1;
     Store_Read(registry->store, 0, on_rows, registry);
 }
+
+static void
+on_verify(void *context, const struct store_result *result)
+{
+    struct registry *registry = context;
+    char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    size_t i;
+    json_t *row;
+    registry->verifying = 0;
+    if (result->code != CODE_OK) {
+        return;
+    }
+    own_key(registry, key, sizeof(key));
+    json_array_foreach(json_object_get(result->body, "rows"), i, row)
+    {
+        const char *name = json_string_value(json_object_get(row, "key"));
+        if (name && strcmp(name, key) == 0) {
+            registry->lost = 1;
+        }
+    }
+}
+
+void
+Reg_Verify(struct registry *registry)
+{
+    if (!registry->registered || registry->verifying) {
+        return;
+    }
+    registry->verifying = 1;
+    Store_Read(registry->store, registry->registered, on_verify, registry);
+}
