--- a/core/src/entry/issuer.c
+++ b/core/src/entry/issuer.c
@@ -152,6 +152,11 @@
             job->resend_us = now.us;
             break;
         case ENT_JOB_ANSWERED:
+            /* The new owner may run what was refused here. */
+            if (Code_Run(job->code) == CODE_NOT_RUN) {
+                Enti_DropJob(entry, job);
+            }
+            break;
         case ENT_JOB_REMOTE:
             break;
         }
