--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -50,14 +50,24 @@
     return entries[1];
 }
 
+static const struct ent_issuer *
+find_issuer(const struct net_node *taker, const struct key *key)
+{
+    struct ent_issuer *issuer;
+    uint64_t number = key->issuer;
+    HASH_FIND(hh, taker->entry.issuer_index, &number, sizeof(number), issuer);
+    if (!issuer) {
+        abort();
+    }
+    return issuer;
+}
+
 static struct msg
 record(const struct net_node *taker, const struct key *key, uint32_t report,
        uint32_t index)
 {
     struct msg msg = {.type = MSG_HELD};
-    struct ent_issuer *issuer;
-    uint64_t number = key->issuer;
-    HASH_FIND(hh, taker->entry.issuer_index, &number, sizeof(number), issuer);
+    const struct ent_issuer *issuer = find_issuer(taker, key);
     msg.u.result.key = *key;
     msg.u.result.epoch = issuer->epoch;
     msg.u.result.task = index + 1;
@@ -82,9 +92,7 @@
 has_reported(struct net_node *taker, const struct key *key,
              const struct net_node *agent)
 {
-    struct ent_issuer *issuer;
-    uint64_t number = key->issuer;
-    HASH_FIND(hh, taker->entry.issuer_index, &number, sizeof(number), issuer);
+    const struct ent_issuer *issuer = find_issuer(taker, key);
     struct ent_fence *fence = issuer->fences;
     while (fence && fence->agent != agent->head.from) {
         fence = fence->next;
