--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -44,6 +44,9 @@
     X(store_reads, "reads of the table service")                              \
     X(store_writes, "writes to the table service")                            \
     X(store_errors, "failed calls of the table service")                      \
+    X(starts_held, "starts that waited at an agent for a slot")               \
+    X(holds_refused, "starts that waited at an agent and were refused")       \
+    X(news_sent, "offers sent because the free slots had changed")            \
     X(upstream_errors, "failed calls of the upstream")                        \
     X(actions_dropped, "actions dropped because the queue was full")          \
     X(config_applied, "configuration versions applied")                       \
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -16,6 +16,13 @@
 #define AG_MAX_ISSUERS 4096
 /** Most entries that an agent talks to. */
 #define AG_MAX_ENTRIES 256
+/** Most starts that may wait for a slot. */
+#define AG_MAX_HOLDS 1024
+/** An entry that sent a start of late is told when the slots taken differ
+ * by this many from what it knows, or all are taken. */
+#define AG_NEWS_SLOTS 2
+/** Such an entry sent a start within this time. */
+#define AG_NEWS_US (1 * US_PER_S)
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
 /** An upstream that has not announced itself for this long is gone. */
@@ -51,6 +58,7 @@
     struct ag_job *job;
     struct ag_task *next; /**< Of the same job. */
     struct epoch epoch;
+    uint64_t from; /**< Incarnation of the entry that it counts for. */
     uint32_t no;
     uint32_t attempt;
     enum task_state state;
@@ -62,6 +70,17 @@
     struct bytes output; /**< Owned. */
 };
 
+/** A start that waits for a slot. */
+struct ag_hold {
+    struct tab_row row;
+    struct ag_hold *prev, *next; /**< Of the same priority class. */
+    struct ag_task *task;
+    uint64_t from; /**< Incarnation of the sender. */
+    uint64_t since_us;
+    uint64_t until_us;      /**< Refused when it still waits then. */
+    struct msg_start start; /**< Its input is owned. */
+};
+
 /** What is remembered of a key. */
 struct ag_job {
     struct tab_row row;
@@ -88,9 +107,12 @@
     uint64_t incarnation;
     char addr[WIRE_ADDR_SIZE];
     uint64_t heard_us;
-    uint64_t link_us; /**< When the connection was last made. */
-    uint64_t echo_us; /**< Entry's `sent_us` to echo. */
-    uint64_t version; /**< Registry version that it has applied. */
+    uint64_t link_us;  /**< When the connection was last made. */
+    uint64_t echo_us;  /**< Entry's `sent_us` to echo. */
+    uint64_t version;  /**< Registry version that it has applied. */
+    uint64_t start_us; /**< When it last sent a start. */
+    uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
+    uint32_t told;     /**< Slots taken, as it was last told. */
     UT_hash_handle hh;
 };
 
@@ -113,6 +135,9 @@
     uint32_t busy;         /**< Task slots taken. */
     uint32_t calls;        /**< Connections taken by requests. */
     uint32_t foreign;      /**< Tasks running since before this process. */
+    struct tab hold_table;
+    struct ag_hold *holds[PRIO_COUNT];
+    uint32_t held; /**< Starts that wait for a slot. */
     uint64_t output_bytes;
     uint64_t next_beat_us;
     uint32_t sweep_slot;
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -11,6 +11,7 @@
 #include "core/act.h"
 #include "core/clock.h"
 #include "core/policy.h"
+#include "core/sched.h"
 #include "wire/msg.h"
 
 /** Issuer numbers that an entry spreads its keys over. */
@@ -51,8 +52,10 @@
     struct tab_row row;
     char name[WIRE_NAME_SIZE];
     struct ent_peer *agents;
-    struct ent_job *queue[PRIO_COUNT]; /**< Jobs with waiting tasks. */
-    uint32_t waiting;                  /**< Tasks waiting in the queues. */
+    struct ent_lane lanes[ENT_LANES]; /**< Jobs with waiting tasks. */
+    uint32_t room;       /**< Starts that could be sent, as last counted. */
+    uint32_t fast_slots; /**< Of usable agents that are not slow. */
+    uint32_t waiting;    /**< Tasks waiting in the queues. */
     UT_hash_handle hh;
 };
 
@@ -76,6 +79,8 @@
     uint32_t outstanding; /**< Task slots taken by this entry's tasks. */
     uint32_t calls;       /**< This entry's requests there. */
     uint32_t others;      /**< Slots taken by others, as last reported. */
+    double pace;          /**< Run times there over those expected. */
+    uint32_t pace_count;  /**< Tasks behind `pace`, up to a bound. */
     UT_hash_handle hh;
 };
 
@@ -92,6 +97,7 @@
     uint32_t run_ms;
     struct bytes input;
     enum ent_task_state state;
+    uint8_t may_wait; /**< Sent to wait for a slot at a full agent. */
     uint32_t attempt;
     uint64_t agent; /**< Incarnation that it was last sent to. */
     uint64_t sent_us;
@@ -154,6 +160,7 @@
     uint32_t open;    /**< Tasks not in ENT_DONE. */
     uint32_t next_waiting;
     uint8_t queued;
+    uint8_t is_begun; /**< Its turn came while it could still end in time. */
     uint64_t not_before_us; /**< Its tasks are not placed before this. */
     uint8_t read;           /**< A caller has read the answer. */
     enum code code;
@@ -164,6 +171,11 @@
     uint8_t cancelled; /**< An agent knows that the key was cancelled. */
     uint64_t target;   /**< Entry that it was passed to. */
     uint64_t resend_us;
+    struct ent_share *share;   /**< Its team's part, never NULL once filled. */
+    struct ent_kind *kind_row; /**< What is known of its kind, the same. */
+    uint64_t task_us;          /**< Expected run time of one task. */
+    uint64_t longest_us;       /**< The same of the longest task. */
+    uint64_t tag;              /**< Place in the fair order of its queue. */
     struct ent_service *service;
     struct ent_job *prev, *next; /**< In the service's queue. */
     UT_hash_handle hh;
@@ -225,6 +237,7 @@
     uint64_t next_scan_us;
     uint32_t sweep_slot;
     uint8_t draining;
+    struct ent_sched sched;
     struct policy policy; /**< Fleet-wide values in force. */
 };
 
--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -13,7 +13,21 @@
     X(LEASE_MS, "lease_ms", "ms", 100, 3600000, 60000,                        \
       "longest run time of a task")                                           \
     X(QUEUE_LIMIT, "queue_limit", "tasks", 1, 1000000, 20000,                 \
-      "tasks that may wait for a slot at one entry")
+      "tasks that may wait for a slot at one entry")                          \
+    X(QUEUE_WAIT_MS, "queue_wait_ms", "ms", 0, 3600000, 3000,                 \
+      "longest expected wait for a slot of a job that is taken in")           \
+    X(LEAST_SHARE, "least_share", "percent", 0, 50, 5,                        \
+      "share of the starts kept for each less urgent class that waits")       \
+    X(TEAM_WEIGHT, "team_weight", "parts", 1, 1000, 10,                       \
+      "share of a team against the other teams of its class")                 \
+    X(TEAM_QUEUE, "team_queue", "tasks", 1, 1000000, 20000,                   \
+      "tasks of one team that may wait at one entry")                         \
+    X(HOLD_MS, "hold_ms", "ms", 0, 10000, 500,                                \
+      "time that a start may wait at an agent for a slot")                    \
+    X(HOLD_TASKS, "hold_tasks", "tasks", 0, 64, 1,                            \
+      "starts sent to an agent beyond its slots when all are taken")          \
+    X(SLOW_PERCENT, "slow_percent", "percent", 110, 10000, 170,               \
+      "run time over the expected from which an agent is used last")
 
 /** Index of a setting. */
 enum policy_id {
--- /dev/null
+++ b/core/include/core/sched.h
@@ -0,0 +1,71 @@
+/** @file
+ * What an entry keeps to decide which task goes next, and where. */
+#ifndef CORE_SCHED_H
+#define CORE_SCHED_H
+
+#include <uthash.h>
+
+#include "base/tab.h"
+#include "wire/msg.h"
+
+/** Queues of a service: one for each priority class, one for requests. */
+#define ENT_LANES (PRIO_COUNT + 1)
+/** Queue of requests, which take no task slot. */
+#define ENT_LANE_REQUEST PRIO_COUNT
+/** Most pairs of service and team, and of service and kind, kept apart; the
+ * ones above share a row. */
+#define ENT_MAX_SHARES 4096
+/** The same for pairs of service and kind. */
+#define ENT_MAX_KINDS 4096
+
+struct ent_job;
+
+/** Jobs of a service that wait, in the order in which they are served. */
+struct ent_lane {
+    struct ent_job *jobs;
+    uint64_t tag;     /**< Start tag of the job served last. */
+    uint64_t work_us; /**< Expected run time of the waiting tasks. */
+    double load;      /**< Slots that the admitted work takes on average. */
+    uint64_t load_us; /**< When `load` was last brought up to date. */
+    uint32_t credit;  /**< Percent of a start owed to this class. */
+};
+
+/** A service and a team, or a service and a kind. */
+struct ent_pair {
+    char service[WIRE_NAME_SIZE];
+    char name[WIRE_NAME_SIZE];
+};
+
+/** A team's part in a service. */
+struct ent_share {
+    struct tab_row row;
+    struct ent_pair id;
+    uint64_t finish[ENT_LANES]; /**< Finish tag of its latest job. */
+    uint32_t running;           /**< Task slots taken from here. */
+    uint32_t waiting;           /**< Its tasks that wait here. */
+    uint32_t others;            /**< Slots taken from other entries. */
+    UT_hash_handle hh;
+};
+
+/** What has been learned of a kind of task. */
+struct ent_kind {
+    struct tab_row row;
+    struct ent_pair id;
+    uint32_t count;      /**< Tasks seen, up to a bound. */
+    uint32_t declared;   /**< The same of those with a declared time. */
+    double mean_us;      /**< Run time. */
+    double per_declared; /**< True over declared run time. */
+    UT_hash_handle hh;
+};
+
+/** All that is kept of teams and kinds. */
+struct ent_sched {
+    struct tab shares;
+    struct ent_share *share_index;
+    struct ent_share spare_share;
+    struct tab kinds;
+    struct ent_kind *kind_index;
+    struct ent_kind spare_kind;
+};
+
+#endif
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -17,6 +17,7 @@
                  settings->task_capacity) ||
         Tab_Init(&agent->jobs, sizeof(struct ag_job),
                  settings->task_capacity) ||
+        Tab_Init(&agent->hold_table, sizeof(struct ag_hold), AG_MAX_HOLDS) ||
         Tab_Init(&agent->issuers, sizeof(struct ag_issuer), AG_MAX_ISSUERS) ||
         Tab_Init(&agent->entries, sizeof(struct ag_entry), AG_MAX_ENTRIES)) {
         Ag_Finish(agent);
@@ -30,12 +31,14 @@
 {
     uint32_t slot = 0;
     struct ag_task *task;
+    Agi_DropHolds(agent);
     while ((task = Tab_Next(&agent->tasks, &slot))) {
         Agi_DropOutput(agent, task);
     }
     HASH_CLEAR(hh, agent->job_index);
     HASH_CLEAR(hh, agent->issuer_index);
     HASH_CLEAR(hh, agent->entry_index);
+    Tab_Finish(&agent->hold_table);
     Tab_Finish(&agent->tasks);
     Tab_Finish(&agent->jobs);
     Tab_Finish(&agent->issuers);
@@ -67,6 +70,12 @@
     beat.u.beat.version = agent->registered;
     beat.u.beat.draining = agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &beat);
+    Agi_SendOffer(agent, entry);
+}
+
+void
+Agi_SendOffer(struct agent *agent, struct ag_entry *entry)
+{
     struct msg msg = {.type = MSG_AGENT};
     struct msg_agent *status = &msg.u.agent;
     if (agent->announced_us) {
@@ -76,7 +85,9 @@
         status->memory_mb = agent->upstream.memory_mb;
         status->cores = agent->upstream.cores;
     }
-    status->busy = agent->busy + agent->foreign;
+    status->busy = Agi_Busy(agent);
+    entry->told = status->busy;
+    status->mine = entry->tasks;
     status->registered = agent->registered;
     status->leaving = agent->upstream.leaving || agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &msg);
@@ -136,6 +147,7 @@
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
+        entry->start_us = now.us;
         Agi_OnStart(agent, now, head->from, &msg->u.start);
         break;
     case MSG_FENCE:
@@ -160,6 +172,7 @@
     }
     else {
         agent->busy--;
+        Agi_CountTask(agent, task->from, -1);
     }
     task->job->running--;
 }
@@ -181,7 +194,6 @@
 Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle handle,
              enum code code, struct bytes output, uint32_t run_us)
 {
-    (void)now;
     struct ag_task *task = Tab_Get(&agent->tasks, handle);
     if (!task || task->state != TASK_RUNNING) {
         return;
@@ -191,6 +203,7 @@
     task->run_us = run_us;
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
     CTR_INC(agent->counters, tasks_finished);
+    Agi_RunHeld(agent, now);
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
     if (Agi_KeepOutput(agent, task, output)) {
         send_unkept(agent, owner, task, output);
@@ -231,6 +244,8 @@
         agent->next_beat_us = now.us + BEAT_INTERVAL_US;
         beat_entries(agent, now);
     }
+    Agi_CheckHeld(agent, now);
+    Agi_SendNews(agent, now);
     Agi_Sweep(agent, now);
 }
 
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -40,6 +40,57 @@
 void Agi_SendTask(struct agent *agent, uint64_t to, enum msg_type type,
                   const struct ag_task *task);
 
+/** Refuse a start as not run. */
+void Agi_Refuse(struct agent *agent, uint64_t to,
+                const struct msg_start *start, enum code code);
+
+/** A reason to refuse a start that may pass, CODE_OK for none. */
+enum code Agi_CheckRoom(const struct agent *agent, struct now now,
+                        const struct msg_start *start);
+
+/** Start a task on the upstream. */
+void Agi_Begin(struct agent *agent, struct now now, uint64_t from,
+               struct ag_task *task, const struct msg_start *start);
+
+/** Slots taken, as entries are told. */
+uint32_t Agi_Busy(const struct agent *agent);
+
+/** Tell an entry what the upstream offers now. */
+void Agi_SendOffer(struct agent *agent, struct ag_entry *entry);
+
+/* news.c */
+
+/** Tell the entries that send starts when the free slots have changed. */
+void Agi_SendNews(struct agent *agent, struct now now);
+
+/** Note that tasks of an entry take more (or, below 0, fewer) slots. */
+void Agi_CountTask(struct agent *agent, uint64_t from, int tasks);
+
+/** Note that an entry is told how many slots are taken. Returns those taken
+ * by its own tasks. */
+uint32_t Agi_NoteTold(struct agent *agent, uint64_t to);
+
+/* hold.c */
+
+/** Let a start wait for a slot. -1 when it may not wait or has no room. */
+int Agi_Hold(struct agent *agent, struct now now, uint64_t from,
+             const struct msg_start *start, struct ag_task *task);
+
+/** Start what waits, the most urgent first, while there is a slot. */
+void Agi_RunHeld(struct agent *agent, struct now now);
+
+/** Refuse what has waited too long or may not start here any more. */
+void Agi_CheckHeld(struct agent *agent, struct now now);
+
+/** Refuse what waits of a range that has a new owner. */
+void Agi_RevokeIssuer(struct agent *agent, uint64_t issuer);
+
+/** Refuse what waits of a cancelled job. */
+void Agi_RevokeJob(struct agent *agent, const struct ag_job *job);
+
+/** Forget all that waits. */
+void Agi_DropHolds(struct agent *agent);
+
 /** Handle a fence. */
 void Agi_OnFence(struct agent *agent, struct now now, uint64_t from,
                  const struct msg_fence *fence);
--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -8,7 +8,7 @@
 {
     uint32_t count = 0;
     for (const struct ag_task *task = job->tasks; task; task = task->next) {
-        if (task->state != TASK_REFUSED) {
+        if (task->state != TASK_REFUSED && task->state != TASK_WAITING) {
             Agi_SendTask(agent, to, MSG_HELD, task);
             count++;
         }
@@ -80,6 +80,7 @@
         return;
     }
     job->cancelled = 1;
+    Agi_RevokeJob(agent, job);
     for (struct ag_task *task = job->tasks; task; task = task->next) {
         stop_task(agent, task);
     }
--- /dev/null
+++ b/core/src/agent/hold.c
@@ -0,0 +1,157 @@
+/* Starts that wait here for a slot, a few and for a short time. A task that
+ * waits is not started: a fence, a cancellation or the end of its time makes
+ * it a recorded refusal. */
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "agent_impl.h"
+
+static int
+copy_start(struct ag_hold *hold, const struct msg_start *start)
+{
+    void *input = malloc(start->input.size ? start->input.size : 1);
+    if (!input) {
+        return -1;
+    }
+    if (start->input.size) {
+        memcpy(input, start->input.data, start->input.size);
+    }
+    hold->start = *start;
+    hold->start.input.data = input;
+    return 0;
+}
+
+static void
+drop(struct agent *agent, struct ag_hold *hold)
+{
+    hold->task->job->running--;
+    Agi_CountTask(agent, hold->from, -1);
+    DL_DELETE(agent->holds[hold->start.priority], hold);
+    agent->held--;
+    free((void *)hold->start.input.data);
+    Tab_Remove(&agent->hold_table, hold);
+}
+
+int
+Agi_Hold(struct agent *agent, struct now now, uint64_t from,
+         const struct msg_start *start, struct ag_task *task)
+{
+    if (start->hold_ms == 0 || agent->held >= agent->upstream.slots) {
+        return -1;
+    }
+    struct ag_hold *hold = Tab_Add(&agent->hold_table);
+    if (!hold) {
+        return -1;
+    }
+    if (copy_start(hold, start)) {
+        Tab_Remove(&agent->hold_table, hold);
+        return -1;
+    }
+    hold->task = task;
+    hold->from = from;
+    hold->since_us = now.us;
+    hold->until_us = now.us + start->hold_ms * US_PER_MS;
+    task->state = TASK_WAITING;
+    task->code = CODE_OK;
+    task->epoch = start->epoch;
+    task->attempt = start->attempt;
+    task->job->running++;
+    agent->held++;
+    Agi_CountTask(agent, from, 1);
+    CTR_INC(agent->counters, starts_held);
+    DL_APPEND(agent->holds[start->priority], hold);
+    return 0;
+}
+
+static void
+refuse_held(struct agent *agent, struct ag_hold *hold, enum code code,
+            int tell)
+{
+    hold->task->state = TASK_REFUSED;
+    hold->task->code = code;
+    CTR_INC(agent->counters, holds_refused);
+    if (tell) {
+        Agi_Refuse(agent, hold->from, &hold->start, code);
+    }
+    drop(agent, hold);
+}
+
+void
+Agi_RunHeld(struct agent *agent, struct now now)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        struct ag_hold *hold;
+        while ((hold = agent->holds[priority])) {
+            if (Agi_CheckRoom(agent, now, &hold->start) != CODE_OK) {
+                return;
+            }
+            uint64_t waited_ms = (now.us - hold->since_us) / US_PER_MS;
+            struct msg_start *start = &hold->start;
+            start->deadline_ms -= waited_ms < start->deadline_ms
+                                      ? (uint32_t)waited_ms
+                                      : start->deadline_ms;
+            Agi_Begin(agent, now, hold->from, hold->task, start);
+            drop(agent, hold);
+        }
+    }
+}
+
+void
+Agi_CheckHeld(struct agent *agent, struct now now)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        struct ag_hold *hold;
+        struct ag_hold *following;
+        DL_FOREACH_SAFE(agent->holds[priority], hold, following)
+        {
+            enum code code = Agi_CheckRoom(agent, now, &hold->start);
+            int is_late = now.us >= hold->until_us;
+            if ((code != CODE_OK && code != CODE_NO_SLOT) || is_late) {
+                code = code == CODE_OK ? CODE_NO_SLOT : code;
+                refuse_held(agent, hold, code, 1);
+            }
+        }
+    }
+    Agi_RunHeld(agent, now);
+}
+
+void
+Agi_RevokeIssuer(struct agent *agent, uint64_t issuer)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        struct ag_hold *hold;
+        struct ag_hold *following;
+        DL_FOREACH_SAFE(agent->holds[priority], hold, following)
+        {
+            if (hold->start.key.issuer == issuer) {
+                refuse_held(agent, hold, CODE_OLD_EPOCH, 0);
+            }
+        }
+    }
+}
+
+void
+Agi_RevokeJob(struct agent *agent, const struct ag_job *job)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        struct ag_hold *hold;
+        struct ag_hold *following;
+        DL_FOREACH_SAFE(agent->holds[priority], hold, following)
+        {
+            if (hold->task->job == job) {
+                refuse_held(agent, hold, CODE_CANCELLED, 0);
+            }
+        }
+    }
+}
+
+void
+Agi_DropHolds(struct agent *agent)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        while (agent->holds[priority]) {
+            drop(agent, agent->holds[priority]);
+        }
+    }
+}
--- a/core/src/agent/record.c
+++ b/core/src/agent/record.c
@@ -149,6 +149,7 @@
     found->used_us = now.us;
     int order = Epoch_Compare(epoch, found->epoch);
     if (order > 0) {
+        Agi_RevokeIssuer(agent, issuer);
         found->epoch = epoch;
     }
     return order < 0 ? -1 : 0;
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -2,6 +2,12 @@
  * docs/DESIGN.md, section 2.2. */
 #include "agent_impl.h"
 
+uint32_t
+Agi_Busy(const struct agent *agent)
+{
+    return agent->busy + agent->foreign + agent->held;
+}
+
 void
 Agi_SendTask(struct agent *agent, uint64_t to, enum msg_type type,
              const struct ag_task *task)
@@ -15,14 +21,15 @@
     result->state = task->state;
     result->code = task->code;
     result->run_us = task->run_us;
-    result->busy = agent->busy + agent->foreign;
+    result->busy = Agi_Busy(agent);
     result->output = task->output;
+    result->mine = Agi_NoteTold(agent, to);
     Act_Send(&agent->sink, to, &msg);
 }
 
-static void
-refuse(struct agent *agent, uint64_t to, const struct msg_start *start,
-       enum code code)
+void
+Agi_Refuse(struct agent *agent, uint64_t to, const struct msg_start *start,
+           enum code code)
 {
     struct msg msg = {.type = MSG_RESULT};
     struct msg_result *result = &msg.u.result;
@@ -32,8 +39,9 @@
     result->attempt = start->attempt;
     result->state = TASK_REFUSED;
     result->code = code;
-    result->busy = agent->busy + agent->foreign;
+    result->busy = Agi_Busy(agent);
     Ctr_Code(agent->counters, code);
+    result->mine = Agi_NoteTold(agent, to);
     Act_Send(&agent->sink, to, &msg);
 }
 
@@ -46,9 +54,11 @@
 }
 
 /* A reason to refuse that may pass, CODE_OK for none. */
-static enum code
-check_room(const struct agent *agent, const struct msg_start *start)
+enum code
+Agi_CheckRoom(const struct agent *agent, struct now now,
+              const struct msg_start *start)
 {
+    (void)now;
     if (agent->draining || agent->upstream.leaving) {
         return CODE_OUT_OF_SERVICE;
     }
@@ -79,9 +89,9 @@
     return CODE_OK;
 }
 
-static void
-begin(struct agent *agent, struct now now, struct ag_task *task,
-      const struct msg_start *start)
+void
+Agi_Begin(struct agent *agent, struct now now, uint64_t from,
+          struct ag_task *task, const struct msg_start *start)
 {
     task->job->running++;
     task->epoch = start->epoch;
@@ -95,7 +105,9 @@
     }
     else {
         agent->busy++;
+        Agi_CountTask(agent, from, 1);
     }
+    task->from = from;
     CTR_INC(agent->counters, tasks_started);
     struct act act = {.type = ACT_RUN};
     act.u.run.task = Tab_Handle(&agent->tasks, task);
@@ -119,19 +131,22 @@
 start_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
-    enum code code = check_room(agent, start);
+    enum code code = Agi_CheckRoom(agent, now, start);
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
     if (code == CODE_OK) {
-        begin(agent, now, task, start);
+        Agi_Begin(agent, now, from, task, start);
+        return;
+    }
+    if (code == CODE_NO_SLOT && Agi_Hold(agent, now, from, start, task) == 0) {
         return;
     }
     task->state = TASK_REFUSED;
     task->code = code;
     task->epoch = start->epoch;
     task->attempt = start->attempt;
-    refuse(agent, from, start, code);
+    Agi_Refuse(agent, from, start, code);
 }
 
 void
@@ -139,24 +154,24 @@
             const struct msg_start *start)
 {
     if (Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch)) {
-        refuse(agent, from, start, CODE_OLD_EPOCH);
+        Agi_Refuse(agent, from, start, CODE_OLD_EPOCH);
         return;
     }
     enum code code = check_key(agent, start);
     if (code != CODE_OK) {
-        refuse(agent, from, start, code);
+        Agi_Refuse(agent, from, start, code);
         return;
     }
     struct ag_task *task = find_or_add(agent, start);
     if (!task) {
-        refuse(agent, from, start, CODE_NO_MEMORY);
+        Agi_Refuse(agent, from, start, CODE_NO_MEMORY);
     }
     else if (task->state >= TASK_RUNNING) {
         CTR_INC(agent->counters, start_duplicate);
         Agi_SendTask(agent, from, MSG_RESULT, task);
     }
     else if (task->state == TASK_REFUSED && is_superseded(task, start)) {
-        refuse(agent, from, start, CODE_OLD_ATTEMPT);
+        Agi_Refuse(agent, from, start, CODE_OLD_ATTEMPT);
     }
     else {
         start_task(agent, now, from, start, task);
--- /dev/null
+++ b/core/src/entry/admit.c
@@ -0,0 +1,154 @@
+/* Which jobs are taken in. A job that would wait too long, or end after its
+ * deadline, is refused whole before any of its tasks starts. */
+#include <string.h>
+#include <utlist.h>
+
+#include "entry_impl.h"
+
+/* Time over which the load of a class is averaged. */
+#define LOAD_US (4.0 * US_PER_S)
+/* Bounds of what a refused caller is told to wait. */
+#define LEAST_RETRY_MS 100
+#define MOST_RETRY_MS 10000
+
+/* Slots of the service that this entry can count on. */
+static double
+usable_slots(const struct entry *entry, struct now now,
+             const struct ent_service *service)
+{
+    double slots = 0;
+    const struct ent_peer *agent;
+    DL_FOREACH(service->agents, agent)
+    {
+        if (Enti_IsUsable(entry, now, agent) && agent->others < agent->slots) {
+            slots += agent->slots - agent->others;
+        }
+    }
+    return slots < 1 ? 1 : slots;
+}
+
+static double
+lane_load(const struct ent_lane *lane, struct now now)
+{
+    double age_us = (double)(now.us - lane->load_us);
+    return lane->load * LOAD_US / (LOAD_US + age_us);
+}
+
+static void
+add_load(struct ent_lane *lane, struct now now, uint64_t work_us)
+{
+    lane->load = lane_load(lane, now) + (double)work_us / LOAD_US;
+    lane->load_us = now.us;
+}
+
+struct ent_outlook
+Enti_Outlook(const struct entry *entry, struct now now,
+             const struct ent_job *job)
+{
+    const struct ent_service *service = job->service;
+    const struct policy *policy = Enti_Policy(entry, service->name, "");
+    struct ent_outlook outlook = {0, 0};
+    uint32_t index = Enti_Lane(job);
+    if (index == ENT_LANE_REQUEST) {
+        return outlook;
+    }
+    double all = usable_slots(entry, now, service);
+    double slots = all;
+    double ahead_us = 0;
+    for (uint32_t i = 0; i <= index; i++) {
+        ahead_us += (double)service->lanes[i].work_us;
+        if (i < index) {
+            slots -= lane_load(&service->lanes[i], now);
+        }
+    }
+    double least = all * (double)policy->value[POL_LEAST_SHARE] / 100;
+    slots = slots < least ? least : slots;
+    slots = slots < 1 ? 1 : slots;
+    double work_us = (double)(job->task_us * job->task_count);
+    double longest_us = (double)job->longest_us;
+    outlook.wait_us = (uint64_t)(ahead_us / slots);
+    work_us /= slots;
+    outlook.run_us = (uint64_t)(work_us > longest_us ? work_us : longest_us);
+    return outlook;
+}
+
+uint32_t
+Enti_RetryAfterMs(struct entry *entry, uint64_t excess_us)
+{
+    uint64_t ms = excess_us / US_PER_MS;
+    ms = ms < LEAST_RETRY_MS ? LEAST_RETRY_MS : ms;
+    ms = ms > MOST_RETRY_MS ? MOST_RETRY_MS : ms;
+    /* Spread over half as much again, or all come back at once. */
+    return (uint32_t)(ms + Enti_Random(entry) % (ms / 2));
+}
+
+static enum code
+refuse(struct entry *entry, struct ent_job *job, enum code code,
+       uint64_t excess_us)
+{
+    job->retry_after_ms = Enti_RetryAfterMs(entry, excess_us);
+    return code;
+}
+
+static int
+fits_any(const struct ent_service *service, const struct ent_job *job)
+{
+    const struct ent_peer *agent;
+    DL_FOREACH(service->agents, agent)
+    {
+        if (agent->memory_mb >= job->memory_mb && agent->cores >= job->cores) {
+            return 1;
+        }
+    }
+    return service->agents == NULL;
+}
+
+enum code
+Enti_CheckTime(struct entry *entry, struct now now, struct ent_job *job,
+               int is_waiting)
+{
+    struct ent_outlook outlook = Enti_Outlook(entry, now, job);
+    uint64_t wait_us = is_waiting ? 0 : outlook.wait_us;
+    uint64_t end_us = now.us + wait_us + outlook.run_us;
+    if (end_us > job->deadline_us) {
+        return refuse(entry, job, CODE_TOO_LATE, end_us - job->deadline_us);
+    }
+    return CODE_OK;
+}
+
+enum code
+Enti_Admit(struct entry *entry, struct now now, struct ent_job *job)
+{
+    const struct ent_service *service = job->service;
+    const struct policy *policy;
+    if (!service) {
+        return CODE_UNKNOWN_SERVICE;
+    }
+    if (!fits_any(service, job)) {
+        return CODE_CANNOT_RUN;
+    }
+    if (entry->settings.mode == ENT_BASELINE) {
+        return CODE_OK;
+    }
+    policy = Enti_Policy(entry, job->service_name, job->team);
+    uint64_t limit_us = (uint64_t)policy->value[POL_QUEUE_WAIT_MS] * US_PER_MS;
+    struct ent_outlook outlook = Enti_Outlook(entry, now, job);
+    if (service->waiting + job->task_count > policy->value[POL_QUEUE_LIMIT]) {
+        return refuse(entry, job, CODE_QUEUE_FULL, outlook.wait_us);
+    }
+    if (job->share->waiting + job->task_count >
+        policy->value[POL_TEAM_QUEUE]) {
+        return refuse(entry, job, CODE_OVER_QUOTA, outlook.wait_us);
+    }
+    if (outlook.wait_us > limit_us) {
+        return refuse(entry, job, CODE_QUEUE_FULL, outlook.wait_us - limit_us);
+    }
+    return Enti_CheckTime(entry, now, job, 0);
+}
+
+void
+Enti_CountLoad(struct now now, struct ent_job *job)
+{
+    add_load(&job->service->lanes[Enti_Lane(job)], now,
+             job->task_us * job->task_count);
+}
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -27,6 +27,10 @@
                  settings->peer_capacity) ||
         Tab_Init(&entry->services, sizeof(struct ent_service), MAX_SERVICES) ||
         Tab_Init(&entry->issuers, sizeof(struct ent_issuer), MAX_ISSUERS) ||
+        Tab_Init(&entry->sched.shares, sizeof(struct ent_share),
+                 ENT_MAX_SHARES) ||
+        Tab_Init(&entry->sched.kinds, sizeof(struct ent_kind),
+                 ENT_MAX_KINDS) ||
         Tab_Init(&entry->jobs, sizeof(struct ent_job),
                  settings->job_capacity)) {
         Ent_Finish(entry);
@@ -50,6 +54,10 @@
     HASH_CLEAR(hh, entry->issuer_index);
     HASH_CLEAR(hh, entry->peer_index);
     HASH_CLEAR(hh, entry->service_index);
+    HASH_CLEAR(hh, entry->sched.share_index);
+    HASH_CLEAR(hh, entry->sched.kind_index);
+    Tab_Finish(&entry->sched.shares);
+    Tab_Finish(&entry->sched.kinds);
     Tab_Finish(&entry->peers);
     Tab_Finish(&entry->services);
     Tab_Finish(&entry->issuers);
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -121,9 +121,71 @@
 void Enti_Reply(struct entry *entry, const struct ent_job *job, uint64_t from,
                 conn_id conn);
 
+/* learn.c */
+
+/** What is known of a kind of task; never NULL. */
+struct ent_kind *Enti_Kind(struct entry *entry, const char *service,
+                           const char *name);
+
+/** A team's part in a service; never NULL. */
+struct ent_share *Enti_Share(struct entry *entry, const char *service,
+                             const char *team);
+
+/** Expected run time of a task; `declared_ms` is 0 when none was given. */
+uint64_t Enti_ExpectUs(const struct ent_kind *kind, uint32_t declared_ms);
+
+/** Learn from a task that ended well. */
+void Enti_Learn(const struct ent_job *job, const struct ent_task *task,
+                struct ent_peer *agent, uint32_t run_us);
+
+/* queue.c */
+
+/** Queue of a job in its service. */
+uint32_t Enti_Lane(const struct ent_job *job);
+
+/** Put a job into its service's queue; `again` keeps its place. */
+void Enti_Enqueue(struct entry *entry, struct ent_job *job, int again);
+
 /** Remove a job from its service's queue. */
 void Enti_Unqueue(struct ent_job *job);
 
+/** Note that more (or, below 0, fewer) tasks of a queued job wait. */
+void Enti_CountWaiting(struct ent_job *job, int tasks);
+
+/** The classes in the order in which they may have the next start. */
+void Enti_OrderLanes(const struct ent_service *service,
+                     uint32_t order[PRIO_COUNT]);
+
+/** Note that a job was given a start. */
+void Enti_Served(const struct entry *entry, struct ent_job *job);
+
+/* admit.c */
+
+/** What a job has to expect. */
+struct ent_outlook {
+    uint64_t wait_us; /**< Until its first task starts. */
+    uint64_t run_us;  /**< From then to its end. */
+};
+
+/** Work out what a job with a service has to expect. */
+struct ent_outlook Enti_Outlook(const struct entry *entry, struct now now,
+                                const struct ent_job *job);
+
+/** A reason to refuse a job of which nothing was started, CODE_OK for none.
+ * Sets the job's time after which a retry may help. */
+enum code Enti_Admit(struct entry *entry, struct now now, struct ent_job *job);
+
+/** CODE_TOO_LATE when the job cannot end before its deadline; `is_waiting`
+ * for one whose turn has come. */
+enum code Enti_CheckTime(struct entry *entry, struct now now,
+                         struct ent_job *job, int is_waiting);
+
+/** Count an admitted job's work as load. */
+void Enti_CountLoad(struct now now, struct ent_job *job);
+
+/** Time to tell a refused caller, from what was missing; with jitter. */
+uint32_t Enti_RetryAfterMs(struct entry *entry, uint64_t excess_us);
+
 /* submit.c */
 
 /** Take in a submission from a caller (`from` 0) or an entry. */
@@ -139,6 +201,10 @@
 void Enti_Place(struct entry *entry, struct now now,
                 struct ent_service *service);
 
+/** True when tasks may be sent to an agent. */
+int Enti_IsUsable(const struct entry *entry, struct now now,
+                  const struct ent_peer *agent);
+
 /** Send a start, the first time or again. */
 void Enti_SendStart(struct entry *entry, struct now now, struct ent_job *job,
                     struct ent_task *task);
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -2,7 +2,6 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "entry_impl.h"
 
@@ -311,13 +310,3 @@
     }
     drop_waiters(job);
 }
-
-void
-Enti_Unqueue(struct ent_job *job)
-{
-    if (job->queued) {
-        job->service->waiting -= job->waiting;
-        DL_DELETE(job->service->queue[job->priority], job);
-        job->queued = 0;
-    }
-}
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -188,9 +188,8 @@
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
     peer->leaving = status->leaving;
-    peer->others = status->busy > peer->outstanding
-                       ? status->busy - peer->outstanding
-                       : 0;
+    peer->others =
+        status->busy > status->mine ? status->busy - status->mine : 0;
     if (service) {
         Enti_Place(entry, now, service);
     }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -6,6 +6,12 @@
 
 /* The baseline places a refused task again after this. */
 #define BASELINE_RETRY_US (50 * US_PER_MS)
+/* Tasks after which the pace of an agent counts. */
+#define PACE_TASKS 8
+/* Waiting tasks for each start beyond the slots of an agent. */
+#define DEEP_QUEUE 16
+/* Jobs of a queue looked at for one that can be placed. */
+#define LOOK_AHEAD 16
 
 static uint32_t
 free_room(const struct ent_peer *agent, unsigned flags)
@@ -34,29 +40,122 @@
     return Enti_AgentPolicy(entry, agent)->value[POL_IN_SERVICE] != 0;
 }
 
-/* The agent with the most room, in this data centre before others. */
+int
+Enti_IsUsable(const struct entry *entry, struct now now,
+              const struct ent_peer *agent)
+{
+    return Enti_IsAlive(now, agent) && !agent->leaving && !agent->draining &&
+           is_in_service(entry, agent);
+}
+
+static int
+is_slow(const struct entry *entry, const struct ent_peer *agent)
+{
+    const struct policy *policy = Enti_AgentPolicy(entry, agent);
+    return agent->pace_count >= PACE_TASKS &&
+           agent->pace * 100 > (double)policy->value[POL_SLOW_PERCENT];
+}
+
+/* Starts may go beyond the slots of an agent when so many tasks wait that
+ * the next free slot is sure to be used: then no slot is idle for the time
+ * of a round trip. Only where a slot is soon free. */
+static uint32_t
+spare_room(const struct entry *entry, const struct ent_service *service,
+           const struct ent_peer *agent)
+{
+    const struct policy *policy = Enti_Policy(entry, service->name, "");
+    uint32_t spare = (uint32_t)policy->value[POL_HOLD_TASKS];
+    uint32_t used = agent->outstanding + agent->others;
+    uint32_t full = agent->slots + spare;
+    if (service->waiting < DEEP_QUEUE * spare || agent->slots == 0 ||
+        is_slow(entry, agent)) {
+        return 0;
+    }
+    return used >= agent->slots && used < full ? full - used : 0;
+}
+
+/* Agents of equal standing: the best so far, and the room of all. */
+struct choice {
+    struct ent_peer *agent;
+    uint32_t room;
+};
+
+/* Only this entry is likely to fill the agents of its own data centre, so
+ * there the one with the most room is taken. Elsewhere the news is older and
+ * other entries choose as well: at random, by room, against the herd. */
+static void
+consider(struct entry *entry, struct choice *choice, struct ent_peer *agent,
+         uint32_t room, int near)
+{
+    if (near) {
+        if (room > choice->room) {
+            choice->agent = agent;
+            choice->room = room;
+        }
+        return;
+    }
+    choice->room += room;
+    if (Enti_Random(entry) % choice->room < room) {
+        choice->agent = agent;
+    }
+}
+
+/* A slow agent is worth its while when the wait for others is longer than
+ * what it takes more. */
+static int
+may_use_slow(const struct ent_job *job, const struct ent_peer *agent,
+             uint64_t wait_us)
+{
+    double extra_us = (agent->pace - 1) * (double)job->task_us;
+    return (double)wait_us > extra_us;
+}
+
+enum { NEAR, FAR, TIGHT, SLOW, SPARE, CHOICES };
+
+/* In this data centre before others, slow agents last. */
 static struct ent_peer *
-pick_agent(const struct entry *entry, struct now now,
-           const struct ent_job *job)
+pick_agent(struct entry *entry, struct now now, const struct ent_job *job)
 {
-    struct ent_peer *best = NULL;
+    struct choice choices[CHOICES] = {{NULL, 0}};
     struct ent_peer *agent;
-    uint32_t best_score = 0;
     DL_FOREACH(job->service->agents, agent)
     {
         uint32_t room = free_room(agent, job->flags);
-        if (room == 0 || !may_run(agent, now, job) ||
+        uint32_t spare = 0;
+        if (room == 0 && !(job->flags & SUB_REQUEST)) {
+            spare = spare_room(entry, job->service, agent);
+        }
+        if (room + spare == 0 || !may_run(agent, now, job) ||
             !is_in_service(entry, agent)) {
             continue;
         }
+        if (spare) {
+            consider(entry, &choices[SPARE], agent, spare, 0);
+            continue;
+        }
         int near = strcmp(agent->member.dc, entry->settings.dc) == 0;
-        uint32_t score = room + (near ? 1000 : 0);
-        if (score > best_score) {
-            best = agent;
-            best_score = score;
+        int index = near ? NEAR : room > 1 ? FAR : TIGHT;
+        if (is_slow(entry, agent)) {
+            index = SLOW;
         }
+        consider(entry, &choices[index], agent, room, index == NEAR);
+    }
+    if (choices[NEAR].agent) {
+        return choices[NEAR].agent;
+    }
+    if (choices[FAR].agent) {
+        return choices[FAR].agent;
+    }
+    if (choices[TIGHT].agent) {
+        return choices[TIGHT].agent;
+    }
+    agent = choices[SLOW].agent;
+    if (agent &&
+        (job->flags & SUB_REQUEST || !job->service->fast_slots ||
+         may_use_slow(job, agent, Enti_Outlook(entry, now, job).wait_us))) {
+        return agent;
     }
-    return best;
+    return choices[SPARE].agent;
 }
 
 /* The baseline: any agent, whatever is known of it. */
@@ -85,6 +184,18 @@
     return (uint32_t)((job->deadline_us - now.us) / US_PER_MS);
 }
 
+static uint32_t
+hold_ms(const struct entry *entry, const struct ent_job *job,
+        const struct ent_task *task)
+{
+    const struct policy *policy =
+        Enti_Policy(entry, job->service_name, job->team);
+    if (entry->settings.mode == ENT_BASELINE || !task->may_wait) {
+        return 0;
+    }
+    return (uint32_t)policy->value[POL_HOLD_MS];
+}
+
 void
 Enti_SendStart(struct entry *entry, struct now now, struct ent_job *job,
                struct ent_task *task)
@@ -104,6 +215,8 @@
         (uint32_t)Enti_Policy(entry, job->service_name, job->team)
             ->value[POL_LEASE_MS];
     start->flags = job->flags;
+    start->priority = job->priority;
+    start->hold_ms = hold_ms(entry, job, task);
     memcpy(start->kind, job->kind, sizeof(start->kind));
     memcpy(start->team, job->team, sizeof(start->team));
     start->input = task->input;
@@ -131,48 +244,125 @@
     task->attempt++;
     task->agent = agent->member.incarnation;
     job->waiting--;
-    job->service->waiting--;
+    Enti_CountWaiting(job, -1);
+    Enti_Served(entry, job);
     if (job->flags & SUB_REQUEST) {
         agent->calls++;
     }
     else {
         agent->outstanding++;
+        job->share->running++;
+    }
+    if (job->waiting == 0) {
+        Enti_Unqueue(job);
     }
+    task->may_wait = !(job->flags & SUB_REQUEST) &&
+                     job->service->waiting >= job->service->room;
     Enti_SendStart(entry, now, job, task);
 }
 
-/* Returns -1 when the service has no room for the job now. */
+/* Give the next start to a job. Returns 0 when it was given. */
 static int
-place_job(struct entry *entry, struct now now, struct ent_job *job)
+place_task(struct entry *entry, struct now now, struct ent_job *job)
 {
     if (job->not_before_us > now.us) {
+        return -1;
+    }
+    struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
+                                 ? pick_random(entry, now, job)
+                                 : pick_agent(entry, now, job);
+    if (!agent) {
+        return -1;
+    }
+    send_task(entry, now, job, agent);
+    return 0;
+}
+
+/* A job whose turn has come although it can no longer end in time. */
+static int
+drop_late(struct entry *entry, struct now now, struct ent_job *job)
+{
+    if (job->is_begun || job->waiting < job->task_count ||
+        entry->settings.mode == ENT_BASELINE) {
         return 0;
     }
-    while (job->waiting) {
-        struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
-                                     ? pick_random(entry, now, job)
-                                     : pick_agent(entry, now, job);
-        if (!agent) {
-            return -1;
-        }
-        send_task(entry, now, job, agent);
+    enum code code = Enti_CheckTime(entry, now, job, 1);
+    if (code != CODE_OK) {
+        Enti_Answer(entry, job, code, job->service_name);
+        return 1;
     }
-    Enti_Unqueue(job);
+    job->is_begun = 1;
     return 0;
 }
 
+/* Give one start to the first job of the queue that can use it. */
+static int
+place_lane(struct entry *entry, struct now now, struct ent_lane *lane)
+{
+    struct ent_job *job;
+    struct ent_job *following;
+    int looked = 0;
+    DL_FOREACH_SAFE(lane->jobs, job, following)
+    {
+        if (drop_late(entry, now, job)) {
+            continue;
+        }
+        if (place_task(entry, now, job) == 0) {
+            return 0;
+        }
+        if (++looked == LOOK_AHEAD) {
+            break;
+        }
+    }
+    return -1;
+}
+
+static int
+place_next(struct entry *entry, struct now now, struct ent_service *service)
+{
+    uint32_t order[PRIO_COUNT];
+    Enti_OrderLanes(service, order);
+    for (int i = 0; i < PRIO_COUNT; i++) {
+        if (place_lane(entry, now, &service->lanes[order[i]]) == 0) {
+            return 0;
+        }
+    }
+    return -1;
+}
+
+static void
+count_room(const struct entry *entry, struct now now,
+           struct ent_service *service)
+{
+    const struct ent_peer *agent;
+    service->fast_slots = 0;
+    service->room = 0;
+    DL_FOREACH(service->agents, agent)
+    {
+        if (!Enti_IsUsable(entry, now, agent)) {
+            continue;
+        }
+        service->fast_slots += is_slow(entry, agent) ? 0 : agent->slots;
+        service->room += free_room(agent, 0);
+        service->room += spare_room(entry, service, agent);
+    }
+    if (entry->settings.mode == ENT_BASELINE) {
+        service->room = service->waiting;
+    }
+}
+
 void
 Enti_Place(struct entry *entry, struct now now, struct ent_service *service)
 {
-    for (int prio = 0; prio < PRIO_COUNT; prio++) {
-        struct ent_job *job;
-        struct ent_job *following;
-        DL_FOREACH_SAFE(service->queue[prio], job, following)
-        {
-            if (place_job(entry, now, job)) {
-                break;
-            }
-        }
+    struct ent_lane *requests = &service->lanes[ENT_LANE_REQUEST];
+    if (service->waiting == 0) {
+        return;
+    }
+    count_room(entry, now, service);
+    while (requests->jobs && place_lane(entry, now, requests) == 0) {
+    }
+    while (service->room && place_next(entry, now, service) == 0) {
+        service->room--;
     }
 }
 
@@ -193,6 +383,9 @@
              const struct ent_task *task)
 {
     struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
+    if (!(job->flags & SUB_REQUEST) && job->share->running > 0) {
+        job->share->running--;
+    }
     if (!agent) {
         return;
     }
@@ -215,13 +408,11 @@
     task->state = ENT_WAITING;
     job->waiting++;
     if (job->queued) {
-        job->service->waiting++;
+        Enti_CountWaiting(job, 1);
         return;
     }
     if (!job->service) {
         job->service = Enti_Service(entry, job->service_name, 1);
     }
-    DL_PREPEND(job->service->queue[job->priority], job);
-    job->queued = 1;
-    job->service->waiting += job->waiting;
+    Enti_Enqueue(entry, job, 1);
 }
--- /dev/null
+++ b/core/src/entry/queue.c
@@ -0,0 +1,134 @@
+/* Waiting jobs: one queue for each priority class and one for requests, in
+ * each of them start-time fair queueing between the teams. */
+#include <utlist.h>
+
+#include "entry_impl.h"
+
+/* Tags are run times over weights, scaled by this. */
+#define TAG_SCALE 64
+
+uint32_t
+Enti_Lane(const struct ent_job *job)
+{
+    return job->flags & SUB_REQUEST ? ENT_LANE_REQUEST
+                                    : (uint32_t)job->priority;
+}
+
+static struct ent_lane *
+lane_of(const struct ent_job *job)
+{
+    return &job->service->lanes[Enti_Lane(job)];
+}
+
+void
+Enti_CountWaiting(struct ent_job *job, int tasks)
+{
+    uint64_t work_us = (uint64_t)(tasks < 0 ? -tasks : tasks) * job->task_us;
+    struct ent_lane *lane = lane_of(job);
+    job->service->waiting += (uint32_t)tasks;
+    job->share->waiting += (uint32_t)tasks;
+    if (tasks > 0) {
+        lane->work_us += work_us;
+    }
+    else {
+        lane->work_us -= work_us;
+    }
+}
+
+static uint64_t
+make_tag(const struct entry *entry, const struct ent_job *job)
+{
+    uint32_t index = Enti_Lane(job);
+    struct ent_lane *lane = &job->service->lanes[index];
+    const struct policy *policy =
+        Enti_Policy(entry, job->service_name, job->team);
+    uint64_t work_us = job->task_us * job->waiting;
+    uint64_t weight = (uint64_t)policy->value[POL_TEAM_WEIGHT];
+    uint64_t tag = job->share->finish[index];
+    if (tag < lane->tag) {
+        tag = lane->tag;
+    }
+    job->share->finish[index] = tag + work_us * TAG_SCALE / weight;
+    return tag;
+}
+
+static void
+insert(struct ent_lane *lane, struct ent_job *job)
+{
+    struct ent_job *after = lane->jobs ? lane->jobs->prev : NULL;
+    while (after && after->tag > job->tag) {
+        after = after == lane->jobs ? NULL : after->prev;
+    }
+    if (after) {
+        DL_APPEND_ELEM(lane->jobs, after, job);
+    }
+    else {
+        DL_PREPEND(lane->jobs, job);
+    }
+}
+
+void
+Enti_Enqueue(struct entry *entry, struct ent_job *job, int again)
+{
+    struct ent_lane *lane = lane_of(job);
+    if (job->queued) {
+        return;
+    }
+    if (!again) {
+        job->tag = make_tag(entry, job);
+    }
+    insert(lane, job);
+    job->queued = 1;
+    Enti_CountWaiting(job, (int)job->waiting);
+}
+
+void
+Enti_Unqueue(struct ent_job *job)
+{
+    if (!job->queued) {
+        return;
+    }
+    Enti_CountWaiting(job, -(int)job->waiting);
+    DL_DELETE(lane_of(job)->jobs, job);
+    job->queued = 0;
+}
+
+/* The classes in the order in which they may have the next start. A class
+ * that has been passed over often enough comes first once. */
+void
+Enti_OrderLanes(const struct ent_service *service, uint32_t order[PRIO_COUNT])
+{
+    uint32_t count = 0;
+    for (uint32_t i = PRIO_COUNT; i-- > 0;) {
+        if (service->lanes[i].credit >= 100 && service->lanes[i].jobs) {
+            order[count++] = i;
+            break;
+        }
+    }
+    for (uint32_t i = 0; i < PRIO_COUNT; i++) {
+        if (count == 0 || order[0] != i) {
+            order[count++] = i;
+        }
+    }
+}
+
+void
+Enti_Served(const struct entry *entry, struct ent_job *job)
+{
+    struct ent_service *service = job->service;
+    uint32_t served = Enti_Lane(job);
+    if (job->tag > service->lanes[served].tag) {
+        service->lanes[served].tag = job->tag;
+    }
+    if (served == ENT_LANE_REQUEST) {
+        return;
+    }
+    const struct policy *policy = Enti_Policy(entry, service->name, "");
+    uint32_t share = (uint32_t)policy->value[POL_LEAST_SHARE];
+    struct ent_lane *lane = &service->lanes[served];
+    lane->credit -= lane->credit >= 100 ? 100 : lane->credit;
+    for (uint32_t i = served + 1; i < PRIO_COUNT; i++) {
+        lane = &service->lanes[i];
+        lane->credit = lane->jobs ? lane->credit + share : 0;
+    }
+}
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -110,12 +110,7 @@
     }
     Ctr_Code(entry->counters, result->code);
     Enti_Requeue(entry, now, job, task);
-    if (result->code == CODE_NO_SLOT) {
-        agent->others = result->busy > agent->outstanding
-                            ? result->busy - agent->outstanding
-                            : 0;
-    }
-    else {
+    if (result->code != CODE_NO_SLOT) {
         agent->leaving = 1;
     }
 }
@@ -130,9 +125,11 @@
         on_refused(entry, now, job, task, agent, result);
         break;
     case TASK_RUNNING:
+    case TASK_WAITING:
         task->resend_us = now.us + RUNNING_RESEND_US;
         break;
     case TASK_FINISHED:
+        Enti_Learn(job, task, agent, result->run_us);
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
@@ -159,6 +156,14 @@
     return 0;
 }
 
+/* Each result is news of what others have running there. */
+static void
+note_busy(struct ent_peer *agent, const struct msg_result *result)
+{
+    agent->others =
+        result->busy > result->mine ? result->busy - result->mine : 0;
+}
+
 void
 Enti_OnResult(struct entry *entry, struct now now, struct ent_peer *agent,
               const struct msg_result *result)
@@ -180,6 +185,7 @@
         return;
     }
     apply_result(entry, now, job, task, agent, result);
+    note_busy(agent, result);
     if (service && service->waiting) {
         Enti_Place(entry, now, service);
     }
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -1,6 +1,4 @@
 /* Submissions, first ones and repeated ones. */
-#include <utlist.h>
-
 #include "entry_impl.h"
 
 static int
@@ -10,33 +8,14 @@
     return key->issued_s <= entry->forgotten_s || end < now.wall;
 }
 
-/* A reason to refuse a job that was never started, CODE_OK for none. */
-static enum code
-check_new(const struct entry *entry, const struct ent_job *job)
-{
-    if (!job->service) {
-        return CODE_UNKNOWN_SERVICE;
-    }
-    if (entry->draining) {
-        return CODE_DRAINING;
-    }
-    struct ent_peer *agent;
-    DL_FOREACH(job->service->agents, agent)
-    {
-        if (agent->memory_mb >= job->memory_mb && agent->cores >= job->cores) {
-            return CODE_OK;
-        }
-    }
-    return job->service->agents ? CODE_CANNOT_RUN : CODE_OK;
-}
-
 void
 Enti_OpenJob(struct entry *entry, struct now now, struct ent_job *job)
 {
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_Service(entry, job->service_name, 0);
     if (job->waiting == job->task_count) {
-        enum code code = check_new(entry, job);
+        enum code code =
+            entry->draining ? CODE_DRAINING : Enti_Admit(entry, now, job);
         if (code != CODE_OK) {
             Enti_Answer(entry, job, code, job->service_name);
             return;
@@ -53,9 +32,8 @@
     if (!job->service) {
         job->service = Enti_Service(entry, job->service_name, 1);
     }
-    DL_APPEND(job->service->queue[job->priority], job);
-    job->queued = 1;
-    job->service->waiting += job->waiting;
+    Enti_CountLoad(now, job);
+    Enti_Enqueue(entry, job, 0);
     Enti_Place(entry, now, job->service);
 }
 
@@ -77,6 +55,22 @@
     Enti_AddWaiter(job, from, conn);
 }
 
+/* Whose it is, and how long its tasks should run. */
+static void
+expect(struct entry *entry, struct ent_job *job)
+{
+    uint64_t sum_us = 0;
+    job->share = Enti_Share(entry, job->service_name, job->team);
+    job->kind_row = Enti_Kind(entry, job->service_name, job->kind);
+    job->longest_us = 0;
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        uint64_t us = Enti_ExpectUs(job->kind_row, job->tasks[i].run_ms);
+        sum_us += us;
+        job->longest_us = us > job->longest_us ? us : job->longest_us;
+    }
+    job->task_us = sum_us / job->task_count;
+}
+
 static void
 take_in(struct entry *entry, struct now now, uint64_t from, conn_id conn,
         const struct submission *sub, struct ent_issuer *issuer)
@@ -91,6 +85,7 @@
         Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
         return;
     }
+    expect(entry, job);
     Enti_AddWaiter(job, from, conn);
     if (fresh) {
         Enti_OpenJob(entry, now, job);
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -174,6 +174,7 @@
         }
         else {
             agent->outstanding++;
+            job->share->running++;
         }
         return CODE_OK;
     case TASK_FAILED:
@@ -181,6 +182,7 @@
     case TASK_GONE:
         return CODE_ANSWER_GONE;
     case TASK_REFUSED:
+    case TASK_WAITING:
         break;
     }
     return CODE_OK;
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -61,6 +61,7 @@
     TASK_FINISHED = 3, /**< Ended well; the output is known. */
     TASK_FAILED = 4,   /**< Ended badly. */
     TASK_GONE = 5,     /**< Ended; the output is no longer kept. */
+    TASK_WAITING = 6,  /**< Not started; waits at the agent for a slot. */
 };
 
 /** Flags of a submission. */
@@ -145,6 +146,7 @@
     char service[WIRE_NAME_SIZE]; /**< "" when no upstream has announced. */
     uint32_t slots;
     uint32_t busy;
+    uint32_t mine; /**< Of these, taken by the receiver's tasks. */
     uint32_t connections;
     uint32_t memory_mb;
     uint32_t cores;
@@ -167,6 +169,8 @@
     uint32_t deadline_ms; /**< From now. */
     uint32_t lease_ms;    /**< The task may run this long. */
     unsigned flags;       /**< enum sub_flags. */
+    enum priority priority;
+    uint32_t hold_ms; /**< May wait this long for a slot, 0 for not. */
     char kind[WIRE_NAME_SIZE];
     char team[WIRE_NAME_SIZE];
     struct bytes input;
@@ -182,6 +186,7 @@
     enum code code;
     uint32_t run_us;
     uint32_t busy; /**< Slots taken at the agent after this. */
+    uint32_t mine; /**< Of these, taken by the receiver's tasks. */
     struct bytes output;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -55,11 +55,12 @@
 static void
 put_agent(msgpack_packer *pk, const struct msg_agent *m)
 {
-    msgpack_pack_array(pk, 9);
+    msgpack_pack_array(pk, 10);
     put_uint(pk, MSG_AGENT);
     put_str(pk, m->service);
     put_uint(pk, m->slots);
     put_uint(pk, m->busy);
+    put_uint(pk, m->mine);
     put_uint(pk, m->connections);
     put_uint(pk, m->memory_mb);
     put_uint(pk, m->cores);
@@ -81,7 +82,7 @@
 static void
 put_start(msgpack_packer *pk, const struct msg_start *m)
 {
-    msgpack_pack_array(pk, 12);
+    msgpack_pack_array(pk, 14);
     put_uint(pk, MSG_START);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -90,6 +91,8 @@
     put_uint(pk, m->deadline_ms);
     put_uint(pk, m->lease_ms);
     put_uint(pk, m->flags);
+    put_uint(pk, m->priority);
+    put_uint(pk, m->hold_ms);
     put_str(pk, m->kind);
     put_str(pk, m->team);
     put_bytes(pk, m->input);
@@ -98,7 +101,7 @@
 static void
 put_result(msgpack_packer *pk, enum msg_type type, const struct msg_result *m)
 {
-    msgpack_pack_array(pk, 11);
+    msgpack_pack_array(pk, 12);
     put_uint(pk, type);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -108,6 +111,7 @@
     put_uint(pk, m->code);
     put_uint(pk, m->run_us);
     put_uint(pk, m->busy);
+    put_uint(pk, m->mine);
     put_bytes(pk, m->output);
 }
 
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -131,6 +131,7 @@
     take_str(c, m->service, sizeof(m->service));
     m->slots = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     m->connections = take_u32(c);
     m->memory_mb = take_u32(c);
     m->cores = take_u32(c);
@@ -162,6 +163,8 @@
     m->deadline_ms = take_u32(c);
     m->lease_ms = take_u32(c);
     m->flags = take_u32(c);
+    m->priority = (enum priority)take_max(c, PRIO_COUNT - 1);
+    m->hold_ms = take_u32(c);
     take_str(c, m->kind, sizeof(m->kind));
     take_str(c, m->team, sizeof(m->team));
     m->input = take_bytes(c);
@@ -174,13 +177,14 @@
     take_epoch(c, &m->epoch);
     m->task = take_u32(c);
     m->attempt = take_u32(c);
-    m->state = (enum task_state)take_max(c, TASK_GONE);
+    m->state = (enum task_state)take_max(c, TASK_WAITING);
     if (m->state < TASK_REFUSED) {
         c->bad = 1;
     }
     m->code = take_code(c);
     m->run_us = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     m->output = take_bytes(c);
 }
 
