--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -25,6 +25,14 @@
 #define AG_NEWS_US (1 * US_PER_S)
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
+/** An epoch above the first is kept at least this long after its last use. */
+#define AG_EPOCH_KEEP_US (25 * 3600 * US_PER_S)
+/** An order to stop a task is given again after this. */
+#define AG_STOP_RETRY_US (1 * US_PER_S)
+/** A stopping agent offers its results again after this. */
+#define AG_OFFER_INTERVAL_US (200 * US_PER_MS)
+/** A stopping agent waits this long for owners that it does not hear. */
+#define AG_ORPHAN_WAIT_US (5 * US_PER_S)
 /** An upstream that has not announced itself for this long is gone. */
 #define AG_ANNOUNCE_TTL_US (3 * US_PER_S)
 
@@ -33,6 +41,7 @@
     uint64_t incarnation;
     uint32_t task_capacity;  /**< Starts remembered at once. */
     uint32_t key_lifetime_s; /**< Keys older than this are forgotten. */
+    uint8_t check_fresh;     /**< Start nothing unless fresh. */
 };
 
 /** What an upstream says of itself. */
@@ -66,8 +75,11 @@
     uint32_t run_us;
     unsigned flags;
     uint64_t lease_end_us;
-    uint8_t stopping;
-    struct bytes output; /**< Owned. */
+    uint64_t stop_us; /**< When to order the stop again, 0 for no stop. */
+    uint8_t lapsed;   /**< Stopped because its lease ended. */
+    uint8_t taken;    /**< The owner has the outcome. */
+    struct ag_task *prev, *following; /**< In the list of running tasks. */
+    struct bytes output;              /**< Owned. */
 };
 
 /** A start that waits for a slot. */
@@ -87,8 +99,10 @@
     struct ag_key_id id;
     struct key key;
     struct ag_task *tasks;
+    uint64_t body_hash; /**< Of the submission, 0 when not known. */
     uint32_t running;
     uint8_t cancelled; /**< No more of its tasks may start. */
+    uint8_t read;      /**< The caller has read the answer. */
     UT_hash_handle hh;
 };
 
@@ -113,6 +127,7 @@
     uint64_t start_us; /**< When it last sent a start. */
     uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
     uint32_t told;     /**< Slots taken, as it was last told. */
+    uint64_t ask_us;   /**< Its latest question, to be echoed. */
     UT_hash_handle hh;
 };
 
@@ -137,11 +152,20 @@
     uint32_t foreign;      /**< Tasks running since before this process. */
     struct tab hold_table;
     struct ag_hold *holds[PRIO_COUNT];
-    uint32_t held; /**< Starts that wait for a slot. */
+    uint32_t held;  /**< Starts that wait for a slot. */
+    uint32_t least; /**< Least `busy + calls` since an announcement. */
+    struct ag_task *running;
     uint64_t output_bytes;
+    uint32_t report; /**< Number of the latest report to a taker. */
     uint64_t next_beat_us;
     uint32_t sweep_slot;
+    uint64_t drain_us;      /**< When the stop began. */
+    uint64_t next_offer_us; /**< When results are offered again. */
+    uint32_t untaken;       /**< Outcomes that no owner is known to have. */
     uint8_t draining;
+    uint64_t config;   /**< Version of the configuration applied. */
+    uint64_t fresh_us; /**< When it was known to be the newest, 0: never. */
+    uint8_t is_out;    /**< Out of service by the configuration. */
 };
 
 /** Make an agent on the caller's memory. Returns -1 for lack of memory. */
@@ -154,6 +178,14 @@
 /** The registration was committed at `version`. */
 void Ag_OnRegistered(struct agent *agent, uint64_t version);
 
+/** A configuration is in force from now on; an older one is ignored. `is_out`
+ * takes this agent out of service. */
+void Ag_OnConfig(struct agent *agent, struct now now, uint64_t version,
+                 int is_out);
+
+/** True while this agent may start tasks. */
+int Ag_IsFresh(const struct agent *agent, struct now now);
+
 /** The upstream announced itself or renewed. */
 void Ag_OnAnnounce(struct agent *agent, struct now now,
                    const struct ag_announce *announce);
@@ -163,7 +195,8 @@
                   const struct frame_head *head, const struct msg *msg);
 
 /** A task that was to be run has ended. CODE_OK, CODE_TASK_FAILED,
- * CODE_LEASE_LAPSED or CODE_JOB_CANCELLED. */
+ * CODE_NO_UPSTREAM when it did not reach the upstream, which is a refusal, or
+ * CODE_OUTCOME_UNKNOWN when the upstream's answer was lost. */
 void Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle task,
                   enum code code, struct bytes output, uint32_t run_us);
 
@@ -173,7 +206,8 @@
 /** Stop gracefully: take no more starts. */
 void Ag_Drain(struct agent *agent, struct now now);
 
-/** True when nothing is running any more. */
+/** True when nothing is running any more and every outcome is with the
+ * owner of its key. Of use once the agent drains. */
 int Ag_IsIdle(const struct agent *agent);
 
 #endif
--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -27,7 +27,9 @@
     X(HOLD_TASKS, "hold_tasks", "tasks", 0, 64, 1,                            \
       "starts sent to an agent beyond its slots when all are taken")          \
     X(SLOW_PERCENT, "slow_percent", "percent", 110, 10000, 170,               \
-      "run time over the expected from which an agent is used last")
+      "run time over the expected from which an agent is used last")          \
+    X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 10000,               \
+      "time over which a returning upstream is given its slots back")
 
 /** Index of a setting. */
 enum policy_id {
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -1,5 +1,7 @@
 /* What an agent does with a start: the order of the checks is the order in
  * docs/DESIGN.md, section 2.2. */
+#include <utlist.h>
+
 #include "agent_impl.h"
 
 uint32_t
@@ -55,11 +57,19 @@
 
 /* A reason to refuse that may pass, CODE_OK for none. */
 enum code
-Agi_CheckRoom(const struct agent *agent, struct now now,
+Agi_CheckRoom(struct agent *agent, struct now now,
               const struct msg_start *start)
 {
-    (void)now;
-    if (agent->draining || agent->upstream.leaving) {
+    if (agent->registered == 0) {
+        return CODE_NOT_ADMITTED;
+    }
+    if (!Agi_HasRoom(agent)) {
+        return CODE_NO_MEMORY;
+    }
+    if (!Ag_IsFresh(agent, now)) {
+        return CODE_NOT_FRESH;
+    }
+    if (agent->draining || agent->upstream.leaving || agent->is_out) {
         return CODE_OUT_OF_SERVICE;
     }
     if (agent->announced_us == 0) {
@@ -80,9 +90,6 @@
     if (start->key.issued_s <= agent->forgotten_s) {
         return CODE_KEY_EXPIRED;
     }
-    if (agent->registered == 0) {
-        return CODE_NOT_ADMITTED;
-    }
     if (start->key.rv < agent->registered) {
         return CODE_KEY_TOO_OLD;
     }
@@ -94,6 +101,11 @@
           struct ag_task *task, const struct msg_start *start)
 {
     task->job->running++;
+    task->job->body_hash = start->body_hash;
+    DL_APPEND2(agent->running, task, prev, following);
+    task->stop_us = 0;
+    task->lapsed = 0;
+    task->taken = 0;
     task->epoch = start->epoch;
     task->attempt = start->attempt;
     task->state = TASK_RUNNING;
@@ -149,26 +161,51 @@
     Agi_Refuse(agent, from, start, code);
 }
 
+/* A task that was started before; only a request marked idempotent is run
+ * again, when its owner asks for that by a new attempt. */
+static void
+meet_started(struct agent *agent, struct now now, uint64_t from,
+             const struct msg_start *start, struct ag_task *task)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    int again = (start->flags & both) == both && task->state == TASK_FAILED;
+    if (again && !is_superseded(task, start)) {
+        start_task(agent, now, from, start, task);
+        return;
+    }
+    CTR_INC(agent->counters, start_duplicate);
+    Agi_SendTask(agent, from, MSG_RESULT, task);
+}
+
 void
 Agi_OnStart(struct agent *agent, struct now now, uint64_t from,
             const struct msg_start *start)
 {
-    if (Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch)) {
-        Agi_Refuse(agent, from, start, CODE_OLD_EPOCH);
+    enum code code =
+        Agi_AdoptEpoch(agent, now, start->key.issuer, start->epoch);
+    if (code == CODE_OLD_EPOCH) {
+        Agi_Refuse(agent, from, start, code);
         return;
     }
-    enum code code = check_key(agent, start);
+    /* A refusal that cannot be remembered might be followed by a late copy
+     * that is accepted: without memory for it there is no answer at all. */
+    if (code != CODE_OK) {
+        return;
+    }
+    struct ag_job *job = Agi_FindJob(agent, &start->key);
+    struct ag_task *task = job ? Agi_FindTask(job, start->task) : NULL;
+    if (task && task->state >= TASK_RUNNING) {
+        meet_started(agent, now, from, start, task);
+        return;
+    }
+    code = check_key(agent, start);
     if (code != CODE_OK) {
         Agi_Refuse(agent, from, start, code);
         return;
     }
-    struct ag_task *task = find_or_add(agent, start);
+    task = find_or_add(agent, start);
     if (!task) {
-        Agi_Refuse(agent, from, start, CODE_NO_MEMORY);
-    }
-    else if (task->state >= TASK_RUNNING) {
-        CTR_INC(agent->counters, start_duplicate);
-        Agi_SendTask(agent, from, MSG_RESULT, task);
+        CTR_INC(agent->counters, actions_dropped);
     }
     else if (task->state == TASK_REFUSED && is_superseded(task, start)) {
         Agi_Refuse(agent, from, start, CODE_OLD_ATTEMPT);
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -11,7 +11,8 @@
 #define LEAST_RETRY_MS 100
 #define MOST_RETRY_MS 10000
 
-/* Slots of the service that this entry can count on. */
+/* Slots of the service that this entry can count on; 0 when no agent has
+ * been heard of late. */
 static double
 usable_slots(const struct entry *entry, struct now now,
              const struct ent_service *service)
@@ -24,7 +25,7 @@
             slots += agent->slots - agent->others;
         }
     }
-    return slots < 1 ? 1 : slots;
+    return slots;
 }
 
 static double
@@ -54,6 +55,10 @@
     }
     double all = usable_slots(entry, now, service);
     double slots = all;
+    if (all < 1) {
+        /* Nothing is known, as after a pause: the deadline bounds it. */
+        return outlook;
+    }
     double ahead_us = 0;
     for (uint32_t i = 0; i <= index; i++) {
         ahead_us += (double)service->lanes[i].work_us;
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -14,7 +14,7 @@
 #define LOOK_AHEAD 16
 
 static uint32_t
-free_room(const struct ent_peer *agent, unsigned flags)
+free_room(struct now now, const struct ent_peer *agent, unsigned flags)
 {
     uint32_t used = agent->outstanding + agent->others;
     uint32_t room = agent->slots;
@@ -22,6 +22,7 @@
         used += agent->calls;
         room = agent->connections;
     }
+    room = Enti_RampRoom(now, agent, room);
     return used < room ? room - used : 0;
 }
 
@@ -120,7 +121,7 @@
     struct ent_peer *agent;
     DL_FOREACH(job->service->agents, agent)
     {
-        uint32_t room = free_room(agent, job->flags);
+        uint32_t room = free_room(now, agent, job->flags);
         uint32_t spare = 0;
         if (room == 0 && !(job->flags & SUB_REQUEST)) {
             spare = spare_room(entry, job->service, agent);
@@ -219,9 +220,13 @@
     start->hold_ms = hold_ms(entry, job, task);
     memcpy(start->kind, job->kind, sizeof(start->kind));
     memcpy(start->team, job->team, sizeof(start->team));
+    start->body_hash = job->body_hash;
     start->input = task->input;
     task->sent_us = now.us;
     task->resend_us = now.us + START_RESEND_US;
+    if (task->resend_us < job->due_us) {
+        job->due_us = task->resend_us;
+    }
     CTR_INC(entry->counters, tasks_sent);
     Act_Send(&entry->sink, task->agent, &msg);
 }
@@ -343,7 +348,7 @@
             continue;
         }
         service->fast_slots += is_slow(entry, agent) ? 0 : agent->slots;
-        service->room += free_room(agent, 0);
+        service->room += free_room(now, agent, 0);
         service->room += spare_room(entry, service, agent);
     }
     if (entry->settings.mode == ENT_BASELINE) {
@@ -358,6 +363,10 @@
     if (service->waiting == 0) {
         return;
     }
+    if (!Ent_IsFresh(entry, now)) {
+        CTR_INC(entry->counters, places_not_fresh);
+        return;
+    }
     count_room(entry, now, service);
     while (requests->jobs && place_lane(entry, now, requests) == 0) {
     }
--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -3,6 +3,11 @@
 
 BASE_PORT=${BASE_PORT:-21000}
 KEY_PHRASE="scenario key, not secret"
+# Operators of scenarios: "erika" with this token, and its hash.
+OPERATOR_TOKEN="operator-token"
+OPERATOR_TOKEN_2="second-token"
+OPERATOR_HASH_2="359c0f0b1c20d988f30ef59e0ecd7d522c9be0a92197123cae48784a342b8a19"
+OPERATOR_HASH="83610523f0286e15fbce40c0d1e51ddefdd7bd3deeadd7d7cf3aa2e4a32cc01f"
 PIDS=()
 
 start() { # name command...
@@ -23,10 +28,14 @@
 }
 
 settings() { # role node data_centre http_port internal_port
+  local public=$5
+  case " ${RELAYED:-} " in *" $2 "*) public=$(($5 + 400)) ;; esac
   cat <<JSON
 {"role": "$1", "node": "$2", "region": "great-lakes", "data_centre": "$3",
+ "public_internal": "127.0.0.1:$public",
  "listen_http": "127.0.0.1:$4", "listen_internal": "127.0.0.1:$5",
- "table_service": "127.0.0.1:$BASE_PORT", "cluster_key": "$KEY_PHRASE"}
+ "table_service": "127.0.0.1:$BASE_PORT", "cluster_key": "$KEY_PHRASE",
+ "operator_token_hashes": "erika:$OPERATOR_HASH,jonas:$OPERATOR_HASH_2"}
 JSON
 }
 
@@ -57,6 +66,12 @@
   "$BUILD/cli/jacinthpick" --entry "$(entry_addr "$n")" "$@"
 }
 
+admin() { # entry_number arguments... : as an operator
+  local n=$1
+  shift
+  "$BUILD/cli/jacinthpick" --entry "$(entry_addr "$n")" --token "$OPERATOR_TOKEN" --json "$@"
+}
+
 wait_for() { # seconds command... : until the command succeeds
   local end=$((SECONDS + $1))
   shift
@@ -77,3 +92,19 @@
 
 count_starts() { cat "$WORK"/journal-* 2>/dev/null | awk -v k="$1" '$1 == "start" && $2 == k' | wc -l; }
 count_repeats() { cat "$WORK"/journal-* 2>/dev/null | awk -v k="$1" '$1 == "start" && $2 == k {n[$3]++} END {for (t in n) if (n[t] > 1) r += n[t] - 1; print r + 0}'; }
+
+# A relay in front of a process's internal address, to be started before it:
+# set RELAYED="entry-1 agent-2" and other processes reach these through it.
+start_relay() { # entry|agent number
+  local base=200
+  [ "$1" = agent ] && base=400
+  local port=$((BASE_PORT + base + $2))
+  start "relay-$1-$2" "$BUILD/standins/standin-relay" --listen "127.0.0.1:$((port + 400))" \
+    --to "127.0.0.1:$port" --control "127.0.0.1:$((port + 410))"
+}
+
+relay_faults() { # entry|agent number json
+  local base=200
+  [ "$1" = agent ] && base=400
+  curl -s -d "$3" "127.0.0.1:$((BASE_PORT + base + $2 + 410))/faults" >/dev/null
+}
