Put a worker out that fails what it starts, and probe it

The agent sees every outcome, so it refuses starts (UNHEALTHY, not run) after failures of three different jobs in a row, tells all entries, and after 1 s, doubled each time, takes one task as a probe. Entries use such workers all the same when more than eject_share of the service is out: then the tasks are bad.

--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -51,6 +51,7 @@
     X(KEY_TOO_OLD, 1207, 503, CODE_NOT_RUN,                                   \
       "key older than the agent's memory")                                    \
     X(OUT_OF_SERVICE, 1208, 503, CODE_NOT_RUN, "data centre or upstream out") \
+    X(UNHEALTHY, 1209, 503, CODE_NOT_RUN, "worker fails what it starts")      \
     X(TASK_FAILED, 2001, 502, CODE_RAN, "a task failed")                      \
     X(JOB_DEADLINE, 2002, 504, CODE_PARTLY, "deadline passed while running")  \
     X(JOB_CANCELLED, 2003, 409, CODE_PARTLY, "cancelled while running")       \
--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -47,6 +47,7 @@
     X(starts_held, "starts that waited at an agent for a slot")               \
     X(holds_refused, "starts that waited at an agent and were refused")       \
     X(news_sent, "offers sent because the free slots had changed")            \
+    X(workers_suspected, "times that a worker was put out for failures")      \
     X(upstream_errors, "failed calls of the upstream")                        \
     X(actions_dropped, "actions dropped because the queue was full")          \
     X(config_applied, "configuration versions applied")                       \
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -82,6 +82,16 @@
     struct bytes output;              /**< Owned. */
 };
 
+/** What the outcomes say of the worker. */
+struct ag_health {
+    uint32_t failures;     /**< In a row, each of another job. */
+    struct ag_key_id last; /**< Job of the latest failure. */
+    uint64_t since_us;     /**< When the first of the row ended. */
+    uint64_t out_us;       /**< How long it was last put out, 0 for not. */
+    uint64_t out_until_us; /**< 0 when it is not out. */
+    uint8_t probing;       /**< Back, with one task at a time. */
+};
+
 /** A start that waits for a slot. */
 struct ag_hold {
     struct tab_row row;
@@ -150,6 +160,7 @@
     uint32_t busy;         /**< Task slots taken. */
     uint32_t calls;        /**< Connections taken by requests. */
     uint32_t foreign;      /**< Tasks running since before this process. */
+    struct ag_health health;
     struct tab hold_table;
     struct ag_hold *holds[PRIO_COUNT];
     uint32_t held;  /**< Starts that wait for a slot. */
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -62,6 +62,7 @@
     struct ent_peer *agents;
     struct ent_lane lanes[ENT_LANES]; /**< Jobs with waiting tasks. */
     uint32_t room;        /**< Starts that could be sent, as last counted. */
+    uint8_t use_suspects; /**< Too many workers fail: it is not theirs. */
     uint32_t fast_slots;  /**< Of usable agents that are not slow. */
     uint32_t waiting;     /**< Tasks waiting in the queues. */
     struct policy policy; /**< In force for the service. */
@@ -89,6 +90,7 @@
     uint32_t calls;       /**< This entry's requests there. */
     uint32_t others;      /**< Slots taken by others, as last reported. */
     double pace;          /**< Run times there over those expected. */
+    uint8_t suspect;      /**< The agent says that its worker fails. */
     uint32_t pace_count;  /**< Tasks behind `pace`, up to a bound. */
     struct policy policy; /**< In force for tasks that run there. */
     uint64_t config;      /**< Configuration that it has applied. */
--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -26,6 +26,8 @@
       "time that a start may wait at an agent for a slot")                    \
     X(HOLD_TASKS, "hold_tasks", "tasks", 0, 64, 1,                            \
       "starts sent to an agent beyond its slots when all are taken")          \
+    X(EJECT_SHARE, "eject_share", "percent", 0, 100, 30,                      \
+      "most workers of a service that may be out for their failures")         \
     X(SLOW_PERCENT, "slow_percent", "percent", 110, 10000, 170,               \
       "run time over the expected from which an agent is used last")          \
     X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 10000,               \
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -95,6 +95,11 @@
     status->busy = Agi_Busy(agent);
     entry->told = status->busy;
     status->mine = entry->tasks;
+    if (Agi_IsProbing(agent)) {
+        status->slots = 1;
+        status->connections = 1;
+    }
+    status->suspect = (uint8_t)Agi_IsSuspect(agent);
     status->registered = agent->registered;
     status->leaving = agent->upstream.leaving || agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &msg);
@@ -235,6 +240,7 @@
     }
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
     CTR_INC(agent->counters, tasks_finished);
+    Agi_NoteOutcome(agent, now, task);
     Agi_RunHeld(agent, now);
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
     if (Agi_KeepOutput(agent, task, output)) {
@@ -292,6 +298,7 @@
         agent->next_beat_us = now.us + BEAT_INTERVAL_US;
         beat_entries(agent, now);
     }
+    Agi_CheckHealth(agent, now);
     Agi_CheckHeld(agent, now);
     Agi_SendNews(agent, now);
     check_leases(agent, now);
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -83,6 +83,28 @@
  * by its own tasks. */
 uint32_t Agi_NoteTold(struct agent *agent, uint64_t to);
 
+/** Tell all entries what the upstream offers now. */
+void Agi_TellAll(struct agent *agent);
+
+/* health.c */
+
+/** True while the worker is out because it fails what it starts. */
+int Agi_IsSuspect(const struct agent *agent);
+
+/** True while a worker that was out gets one task at a time. */
+int Agi_IsProbing(const struct agent *agent);
+
+/** Take in how a task ended. */
+void Agi_NoteOutcome(struct agent *agent, struct now now,
+                     const struct ag_task *task);
+
+/** Try a worker again that has been out for its time. */
+void Agi_CheckHealth(struct agent *agent, struct now now);
+
+/** CODE_UNHEALTHY or CODE_NO_SLOT when the worker's health bars a start. */
+enum code Agi_CheckSuspect(const struct agent *agent,
+                           const struct msg_start *start);
+
 /* hold.c */
 
 /** Let a start wait for a slot. -1 when it may not wait or has no room. */
--- a/core/src/agent/news.c
+++ b/core/src/agent/news.c
@@ -37,6 +37,16 @@
     }
 }
 
+void
+Agi_TellAll(struct agent *agent)
+{
+    uint32_t slot = 0;
+    struct ag_entry *entry;
+    while ((entry = Tab_Next(&agent->entries, &slot))) {
+        Agi_SendOffer(agent, entry);
+    }
+}
+
 uint32_t
 Agi_NoteTold(struct agent *agent, uint64_t to)
 {
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -75,6 +75,10 @@
     if (agent->announced_us == 0) {
         return CODE_NO_UPSTREAM;
     }
+    enum code code = Agi_CheckSuspect(agent, start);
+    if (code != CODE_OK) {
+        return code;
+    }
     if (start->flags & SUB_REQUEST) {
         uint32_t used = agent->busy + agent->foreign + agent->calls;
         return used < agent->upstream.connections ? CODE_OK : CODE_NO_SLOT;
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -27,11 +27,9 @@
 }
 
 static int
-may_run(const struct ent_peer *agent, struct now now,
-        const struct ent_job *job)
+may_run(const struct ent_peer *agent, const struct ent_job *job)
 {
-    return Enti_IsAlive(now, agent) && !agent->leaving && !agent->draining &&
-           agent->member.registered <= job->key.rv &&
+    return agent->member.registered <= job->key.rv &&
            agent->memory_mb >= job->memory_mb && agent->cores >= job->cores;
 }
 
@@ -45,6 +43,9 @@
 Enti_IsUsable(const struct entry *entry, struct now now,
               const struct ent_peer *agent)
 {
+    if (agent->suspect && !(agent->service && agent->service->use_suspects)) {
+        return 0;
+    }
     return Enti_IsAlive(now, agent) && !agent->leaving && !agent->draining &&
            is_in_service(entry, agent);
 }
@@ -126,8 +127,8 @@
         if (room == 0 && !(job->flags & SUB_REQUEST)) {
             spare = spare_room(entry, job->service, agent);
         }
-        if (room + spare == 0 || !may_run(agent, now, job) ||
-            !is_in_service(entry, agent)) {
+        if (room + spare == 0 || !Enti_IsUsable(entry, now, agent) ||
+            !may_run(agent, job)) {
             continue;
         }
         if (spare) {
@@ -168,7 +169,7 @@
     uint32_t seen = 0;
     DL_FOREACH(job->service->agents, agent)
     {
-        if (may_run(agent, now, job) && is_in_service(entry, agent) &&
+        if (may_run(agent, job) && Enti_IsUsable(entry, now, agent) &&
             Enti_Random(entry) % ++seen == 0) {
             picked = agent;
         }
@@ -216,6 +217,9 @@
         (uint32_t)Enti_Policy(entry, job->service_name, job->team)
             ->value[POL_LEASE_MS];
     start->flags = job->flags;
+    if (job->service && job->service->use_suspects) {
+        start->flags |= START_ANYWAY;
+    }
     start->priority = job->priority;
     start->hold_ms = hold_ms(entry, job, task);
     memcpy(start->kind, job->kind, sizeof(start->kind));
@@ -335,11 +339,29 @@
     return -1;
 }
 
+/* When more workers fail than can be bad at once, the tasks are bad. */
+static void
+check_suspects(const struct entry *entry, struct ent_service *service)
+{
+    const struct policy *policy = Enti_Policy(entry, service->name, "");
+    const struct ent_peer *agent;
+    uint32_t agents = 0;
+    uint32_t suspects = 0;
+    DL_FOREACH(service->agents, agent)
+    {
+        agents++;
+        suspects += agent->suspect;
+    }
+    service->use_suspects =
+        suspects * 100 > agents * policy->value[POL_EJECT_SHARE];
+}
+
 static void
 count_room(const struct entry *entry, struct now now,
            struct ent_service *service)
 {
     const struct ent_peer *agent;
+    check_suspects(entry, service);
     service->fast_slots = 0;
     service->room = 0;
     DL_FOREACH(service->agents, agent)
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -137,7 +137,10 @@
         return;
     }
     Enti_Requeue(entry, now, job, task);
-    if (result->code != CODE_NO_SLOT) {
+    if (result->code == CODE_UNHEALTHY) {
+        agent->suspect = 1;
+    }
+    else if (result->code != CODE_NO_SLOT) {
         agent->leaving = 1;
     }
 }
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -70,6 +70,9 @@
     SUB_REQUEST = 2,    /**< One call to a service: takes no task slot. */
 };
 
+/** Flag of a start: also on a worker that fails what it starts. */
+#define START_ANYWAY 0x100u
+
 /** One task of a submission. */
 struct sub_task {
     uint32_t no;     /**< The caller's number, unique in the job. */
@@ -155,6 +158,7 @@
     uint32_t memory_mb;
     uint32_t cores;
     uint64_t registered; /**< Version of the agent's registration. */
+    uint8_t suspect;     /**< The worker is out for its failures. */
     uint8_t leaving;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -55,7 +55,7 @@
 static void
 put_agent(msgpack_packer *pk, const struct msg_agent *m)
 {
-    msgpack_pack_array(pk, 10);
+    msgpack_pack_array(pk, 11);
     put_uint(pk, MSG_AGENT);
     put_str(pk, m->service);
     put_uint(pk, m->slots);
@@ -65,6 +65,7 @@
     put_uint(pk, m->memory_mb);
     put_uint(pk, m->cores);
     put_uint(pk, m->registered);
+    put_uint(pk, m->suspect);
     put_uint(pk, m->leaving);
 }
 
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -136,6 +136,7 @@
     m->memory_mb = take_u32(c);
     m->cores = take_u32(c);
     m->registered = take_u64(c);
+    m->suspect = (uint8_t)take_max(c, 1);
     m->leaving = (uint8_t)take_max(c, 1);
 }
 
