--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -161,6 +161,7 @@
     case MSG_START:
         entry->start_us = now.us;
         Agi_OnStart(agent, now, head->from, &msg->u.start);
+        Agi_SendNews(agent, now);
         break;
     case MSG_FENCE:
         Agi_OnFence(agent, now, head->from, &msg->u.fence);
@@ -249,6 +250,7 @@
     else {
         Agi_SendTask(agent, owner, MSG_RESULT, task);
     }
+    Agi_SendNews(agent, now);
 }
 
 static void
