Test holds, news, health, admission, order and learning

28 cases on the pure core, time handed in. Found by them: a class with a least share was refused as if all more urgent work had to end first; the expected wait is now the shorter of the two.

--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -67,8 +67,11 @@
         }
     }
     double least = all * (double)policy->value[POL_LEAST_SHARE] / 100;
+    least = least < 1 ? 1 : least;
     slots = slots < least ? least : slots;
-    slots = slots < 1 ? 1 : slots;
+    /* Whatever is more urgent, the class keeps its least share. */
+    double own_us = (double)service->lanes[index].work_us / least * slots;
+    ahead_us = ahead_us > own_us ? own_us : ahead_us;
     double work_us = (double)(job->task_us * job->task_count);
     double longest_us = (double)job->longest_us;
     outlook.wait_us = (uint64_t)(ahead_us / slots);
--- /dev/null
+++ b/tests/test_hold.c
@@ -0,0 +1,351 @@
+/* Starts that wait at an agent, its news, and workers that are put out. */
+#include "net.h"
+
+#define OWNER 500
+#define TAKER 600
+
+static struct net net;
+static struct net_node *node;
+static struct msg_result result;
+static uint32_t refusals;
+static uint32_t offers;
+static uint32_t helds;
+static uint8_t is_suspect;
+
+static void
+hear(void *context, const struct act *act)
+{
+    if (act->type != ACT_SEND) {
+        net_emit(context, act);
+        return;
+    }
+    const struct msg *msg = act->u.send.msg;
+    if (msg->type == MSG_RESULT) {
+        result = msg->u.result;
+        refusals += result.state == TASK_REFUSED;
+    }
+    if (msg->type == MSG_AGENT) {
+        offers++;
+        is_suspect = msg->u.agent.suspect;
+    }
+    helds += msg->type == MSG_HELD;
+}
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    Net_Init(&net);
+    node = Net_AddAgentUnregistered(&net, "x");
+    node->agent.sink.emit = hear;
+    node->run_ms = 100;
+    refusals = 0;
+    helds = 0;
+    Net_Run(&net, 500);
+    Ag_OnRegistered(&node->agent, 5);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    Net_Finish(&net);
+    return 0;
+}
+
+static void
+deliver(uint64_t from, const struct msg *msg)
+{
+    struct frame_head head = {.from = from, .role = ROLE_ENTRY};
+    Ag_OnMessage(&node->agent, net.now, &head, msg);
+}
+
+static struct msg
+make_start(uint32_t seq, uint32_t task, uint32_t hold_ms)
+{
+    struct msg msg = {.type = MSG_START};
+    msg.u.start.key.issuer = 77;
+    msg.u.start.key.rv = 9;
+    msg.u.start.key.seq = seq;
+    msg.u.start.key.issued_s = net.now.wall;
+    msg.u.start.epoch = (struct epoch){1, OWNER};
+    msg.u.start.task = task;
+    msg.u.start.attempt = 1;
+    msg.u.start.deadline_ms = 10000;
+    msg.u.start.lease_ms = 5000;
+    msg.u.start.priority = PRIO_NORMAL;
+    msg.u.start.hold_ms = hold_ms;
+    return msg;
+}
+
+static void
+start(uint32_t seq, uint32_t task, uint32_t hold_ms)
+{
+    struct msg msg = make_start(seq, task, hold_ms);
+    deliver(OWNER, &msg);
+}
+
+static void
+fill(void)
+{
+    for (uint32_t i = 0; i < 8; i++) {
+        start(1, i, 0);
+    }
+    assert_int_equal(node->agent.busy, 8);
+}
+
+static void
+a_held_start_runs_when_a_slot_is_free(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 500);
+    assert_int_equal(net.start_count, 8);
+    assert_int_equal(node->agent.held, 1);
+    Net_Run(&net, 150);
+    assert_int_equal(net.start_count, 9);
+    assert_int_equal(node->agent.held, 0);
+    assert_int_equal(refusals, 0);
+}
+
+static void
+a_held_start_is_refused_after_its_time(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 30);
+    Net_Run(&net, 60);
+    assert_int_equal(result.code, CODE_NO_SLOT);
+    Net_Run(&net, 200);
+    assert_int_equal(net.start_count, 8);
+    start(2, 1, 30);
+    assert_int_equal(result.code, CODE_OLD_ATTEMPT);
+}
+
+static void
+a_second_copy_of_a_held_start_is_held_once(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 500);
+    start(2, 1, 500);
+    assert_int_equal(result.state, TASK_WAITING);
+    assert_int_equal(node->agent.held, 1);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, 9);
+}
+
+static void
+no_more_are_held_than_there_are_slots(void **state)
+{
+    (void)state;
+    fill();
+    for (uint32_t i = 0; i < 9; i++) {
+        start(2, i, 500);
+    }
+    assert_int_equal(node->agent.held, 8);
+    assert_int_equal(refusals, 1);
+}
+
+static void
+the_most_urgent_held_start_runs_first(void **state)
+{
+    (void)state;
+    fill();
+    struct msg bulk = make_start(2, 1, 500);
+    struct msg urgent = make_start(3, 1, 500);
+    bulk.u.start.priority = PRIO_BULK;
+    urgent.u.start.priority = PRIO_URGENT;
+    deliver(OWNER, &bulk);
+    deliver(OWNER, &urgent);
+    Net_Run(&net, 150);
+    assert_int_equal(net.starts[8].seq, 3);
+    assert_int_equal(net.starts[9].seq, 2);
+}
+
+static void
+a_fence_revokes_what_is_held(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 500);
+    struct msg fence = {.type = MSG_FENCE};
+    fence.u.fence.issuer = 77;
+    fence.u.fence.epoch = (struct epoch){2, TAKER};
+    deliver(TAKER, &fence);
+    assert_int_equal(helds, 8);
+    assert_int_equal(node->agent.held, 0);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, 8);
+}
+
+static void
+a_start_of_a_new_owner_revokes_what_is_held(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 500);
+    struct msg other = make_start(2, 1, 500);
+    other.u.start.epoch = (struct epoch){2, TAKER};
+    deliver(TAKER, &other);
+    assert_int_equal(node->agent.held, 1);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, 9);
+}
+
+static void
+a_cancellation_revokes_what_is_held(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 500);
+    struct msg cancel = {.type = MSG_CANCEL};
+    cancel.u.cancel.key = make_start(2, 1, 0).u.start.key;
+    cancel.u.cancel.epoch = (struct epoch){1, OWNER};
+    deliver(OWNER, &cancel);
+    assert_int_equal(node->agent.held, 0);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, 8);
+}
+
+static void
+a_leaving_agent_refuses_what_is_held(void **state)
+{
+    (void)state;
+    fill();
+    start(2, 1, 5000);
+    Ag_Drain(&node->agent, net.now);
+    Net_Run(&net, 20);
+    assert_int_equal(result.code, CODE_OUT_OF_SERVICE);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, 8);
+}
+
+static void
+a_result_tells_whose_the_load_is(void **state)
+{
+    (void)state;
+    struct msg other = make_start(9, 1, 0);
+    other.u.start.key.issuer = 78;
+    other.u.start.epoch = (struct epoch){1, TAKER};
+    fill();
+    deliver(TAKER, &other);
+    assert_int_equal(result.code, CODE_NO_SLOT);
+    assert_int_equal(result.busy, 8);
+    assert_int_equal(result.mine, 0);
+}
+
+static void
+news_goes_to_entries_that_send_starts(void **state)
+{
+    (void)state;
+    struct msg beat = {.type = MSG_BEAT};
+    struct msg other = make_start(9, 1, 0);
+    other.u.start.key.issuer = 78;
+    other.u.start.epoch = (struct epoch){1, TAKER};
+    deliver(601, &beat);
+    deliver(TAKER, &other);
+    offers = 0;
+    start(1, 1, 0);
+    start(1, 2, 0);
+    assert_true(offers >= 1);
+    uint32_t told = offers;
+    Net_Run(&net, 5);
+    assert_true(offers < told + 3);
+}
+
+static void
+fail_jobs(uint32_t first, uint32_t count)
+{
+    node->run_ms = 0;
+    node->fail = CODE_TASK_FAILED;
+    for (uint32_t i = 0; i < count; i++) {
+        start(first + i, 1, 0);
+        Net_Run(&net, 2);
+    }
+}
+
+static void
+three_failed_jobs_put_a_worker_out(void **state)
+{
+    (void)state;
+    fail_jobs(10, 2);
+    assert_false(is_suspect);
+    fail_jobs(12, 1);
+    assert_int_equal(net.start_count, 3);
+    start(20, 1, 0);
+    assert_int_equal(result.code, CODE_UNHEALTHY);
+    assert_int_equal(net.start_count, 3);
+}
+
+static void
+failures_of_one_job_are_its_own(void **state)
+{
+    (void)state;
+    node->run_ms = 0;
+    node->fail = CODE_TASK_FAILED;
+    for (uint32_t i = 0; i < 6; i++) {
+        start(10, i, 0);
+        Net_Run(&net, 2);
+    }
+    start(11, 1, 0);
+    assert_int_equal(net.start_count, 7);
+}
+
+static void
+a_worker_is_probed_and_comes_back(void **state)
+{
+    (void)state;
+    fail_jobs(10, 3);
+    Net_Run(&net, 1100);
+    node->fail = CODE_OK;
+    node->run_ms = 100;
+    start(20, 1, 0);
+    start(21, 1, 0);
+    assert_int_equal(result.code, CODE_NO_SLOT);
+    Net_Run(&net, 150);
+    start(22, 1, 0);
+    start(23, 1, 0);
+    assert_int_equal(net.start_count, 6);
+}
+
+static void
+a_failed_probe_doubles_the_time_out(void **state)
+{
+    (void)state;
+    fail_jobs(10, 3);
+    Net_Run(&net, 1100);
+    fail_jobs(20, 1);
+    Net_Run(&net, 1500);
+    start(21, 1, 0);
+    assert_int_equal(result.code, CODE_UNHEALTHY);
+    Net_Run(&net, 700);
+    start(22, 1, 0);
+    assert_int_equal(net.start_count, 5);
+}
+
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        T(a_held_start_runs_when_a_slot_is_free),
+        T(a_held_start_is_refused_after_its_time),
+        T(a_second_copy_of_a_held_start_is_held_once),
+        T(no_more_are_held_than_there_are_slots),
+        T(the_most_urgent_held_start_runs_first),
+        T(a_fence_revokes_what_is_held),
+        T(a_start_of_a_new_owner_revokes_what_is_held),
+        T(a_cancellation_revokes_what_is_held),
+        T(a_leaving_agent_refuses_what_is_held),
+        T(a_result_tells_whose_the_load_is),
+        T(news_goes_to_entries_that_send_starts),
+        T(three_failed_jobs_put_a_worker_out),
+        T(failures_of_one_job_are_its_own),
+        T(a_worker_is_probed_and_comes_back),
+        T(a_failed_probe_doubles_the_time_out),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,291 @@
+/* What an entry takes in, in which order it serves, and what it learns. */
+#include "net.h"
+
+#include "../core/src/entry/entry_impl.h"
+
+#define CONN(n) (((conn_id)1 << 63) + (n))
+
+static struct net net;
+static struct net_node *entry;
+static struct net_node *agents[2];
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    Net_Init(&net);
+    net.job_capacity = 4096;
+    entry = Net_AddEntry(&net, "e");
+    agents[0] = Net_AddAgent(&net, "a");
+    agents[1] = Net_AddAgent(&net, "b");
+    Net_Run(&net, 1500);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    Net_Finish(&net);
+    return 0;
+}
+
+static struct sub_task tasks[WIRE_MAX_TASKS];
+
+static struct submission
+make_job(uint32_t count, enum priority priority, const char *team)
+{
+    struct submission sub = {
+        .key = Net_Key(entry),
+        .service = "finishing",
+        .kind = "buff-plan",
+        .deadline_ms = 60000,
+        .priority = priority,
+        .task_count = count,
+        .tasks = tasks,
+    };
+    snprintf(sub.team, sizeof(sub.team), "%s", team);
+    for (uint32_t i = 0; i < count; i++) {
+        tasks[i] = (struct sub_task){.no = i + 1};
+    }
+    return sub;
+}
+
+static void
+submit(conn_id conn, const struct submission *sub)
+{
+    Ent_OnSubmit(&entry->entry, net.now, conn, sub);
+}
+
+static uint32_t
+submit_job(conn_id conn, uint32_t count, enum priority priority,
+           const char *team)
+{
+    struct submission sub = make_job(count, priority, team);
+    submit(conn, &sub);
+    return sub.key.seq;
+}
+
+static uint32_t
+starts_of(uint32_t seq)
+{
+    struct key key = {.seq = seq};
+    return Net_Starts(&net, &key);
+}
+
+static void
+a_job_that_ends_too_late_is_refused_unstarted(void **state)
+{
+    (void)state;
+    struct submission sub = make_job(4, PRIO_NORMAL, "");
+    for (int i = 0; i < 4; i++) {
+        tasks[i].run_ms = 5000;
+    }
+    sub.deadline_ms = 1000;
+    submit(CONN(1), &sub);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_TOO_LATE);
+    Net_Run(&net, 200);
+    assert_int_equal(starts_of(sub.key.seq), 0);
+}
+
+static void
+a_deep_queue_refuses_with_a_time_to_retry(void **state)
+{
+    (void)state;
+    submit_job(CONN(1), 800, PRIO_NORMAL, "");
+    uint32_t seq = submit_job(CONN(2), 10, PRIO_NORMAL, "");
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_QUEUE_FULL);
+    Net_Run(&net, 100);
+    assert_int_equal(starts_of(seq), 0);
+}
+
+static void
+a_time_to_retry_is_bounded_and_spread(void **state)
+{
+    (void)state;
+    uint32_t first = Enti_RetryAfterMs(&entry->entry, 0);
+    uint32_t least = first;
+    uint32_t most = first;
+    for (int i = 0; i < 50; i++) {
+        uint32_t ms = Enti_RetryAfterMs(&entry->entry, 0);
+        least = ms < least ? ms : least;
+        most = ms > most ? ms : most;
+    }
+    assert_true(least >= 100 && most < 150 && most > least);
+    assert_true(Enti_RetryAfterMs(&entry->entry, 3600 * US_PER_S) < 15000);
+}
+
+static void
+an_urgent_job_passes_waiting_ones(void **state)
+{
+    (void)state;
+    submit_job(CONN(1), 100, PRIO_NORMAL, "");
+    uint32_t urgent = submit_job(CONN(2), 4, PRIO_URGENT, "");
+    Net_Run(&net, 130);
+    assert_int_equal(starts_of(urgent), 4);
+}
+
+static void
+urgent_work_leaves_a_share_to_the_rest(void **state)
+{
+    (void)state;
+    agents[0]->run_ms = 10;
+    agents[1]->run_ms = 10;
+    uint32_t urgent = submit_job(CONN(1), 800, PRIO_URGENT, "");
+    uint32_t normal = submit_job(CONN(2), 20, PRIO_NORMAL, "");
+    Net_Run(&net, 300);
+    assert_true(starts_of(urgent) < 800);
+    assert_true(starts_of(normal) > 2);
+}
+
+static void
+a_request_does_not_wait_behind_jobs(void **state)
+{
+    (void)state;
+    submit_job(CONN(1), 200, PRIO_NORMAL, "");
+    struct submission request = make_job(1, PRIO_NORMAL, "");
+    request.flags = SUB_REQUEST;
+    submit(CONN(2), &request);
+    Net_Run(&net, 10);
+    assert_int_equal(starts_of(request.key.seq), 1);
+}
+
+/* One team fills the queue; the other's job comes in its fair turn. */
+static void
+teams_of_a_class_share_fairly(void **state)
+{
+    (void)state;
+    uint32_t hog[3];
+    for (uint32_t i = 0; i < 3; i++) {
+        hog[i] = submit_job(CONN(1 + i), 60, PRIO_NORMAL, "hog");
+    }
+    uint32_t other = submit_job(CONN(9), 10, PRIO_NORMAL, "other");
+    while (starts_of(other) < 10) {
+        Net_Run(&net, 1);
+    }
+    assert_true(starts_of(hog[0]) <= 60);
+    assert_int_equal(starts_of(hog[2]), 0);
+}
+
+static void
+run_times_are_learned_by_kind(void **state)
+{
+    (void)state;
+    struct ent_kind kind = {.count = 0};
+    struct ent_job job = {.kind_row = &kind};
+    struct ent_task task = {.run_ms = 0};
+    struct ent_peer agent = {.slots = 8};
+    for (int i = 0; i < 50; i++) {
+        Enti_Learn(&job, &task, &agent, 300000);
+    }
+    assert_in_range(Enti_ExpectUs(&kind, 0), 299000, 301000);
+}
+
+/* What is declared is wrong by ten times, either way. */
+static void
+declared_times_are_corrected(void **state)
+{
+    (void)state;
+    static const uint32_t declared_ms[] = {30, 3000};
+    for (int i = 0; i < 2; i++) {
+        struct ent_kind kind = {.count = 0};
+        struct ent_job job = {.kind_row = &kind};
+        struct ent_task task = {.run_ms = declared_ms[i]};
+        struct ent_peer agent = {.slots = 8};
+        for (int n = 0; n < 20; n++) {
+            Enti_Learn(&job, &task, &agent, 300000);
+        }
+        assert_in_range(Enti_ExpectUs(&kind, declared_ms[i]), 299000, 301000);
+    }
+}
+
+static void
+a_straggler_has_a_pace(void **state)
+{
+    (void)state;
+    struct ent_kind kind = {.count = 0};
+    struct ent_job job = {.kind_row = &kind};
+    struct ent_task task = {.run_ms = 0};
+    struct ent_peer fast = {.slots = 8};
+    struct ent_peer slow = {.slots = 8};
+    for (int i = 0; i < 60; i++) {
+        Enti_Learn(&job, &task, i % 10 ? &fast : &slow,
+                   i % 10 ? 100000 : 300000);
+    }
+    assert_true(fast.pace < 1.2);
+    assert_true(slow.pace > 1.7);
+}
+
+static void
+what_fits_no_worker_is_refused_with_the_reason(void **state)
+{
+    (void)state;
+    struct submission sub = make_job(1, PRIO_NORMAL, "");
+    sub.memory_mb = 4096;
+    submit(CONN(1), &sub);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_CANNOT_RUN);
+}
+
+static void
+a_worker_that_fails_gets_no_more(void **state)
+{
+    (void)state;
+    agents[0]->fail = CODE_TASK_FAILED;
+    agents[0]->run_ms = 1;
+    entry->entry.policy.value[POL_EJECT_SHARE] = 50;
+    Enti_Service(&entry->entry, "finishing", 0)
+        ->policy.value[POL_EJECT_SHARE] = 50;
+    int complete = 0;
+    for (uint32_t i = 0; i < 40; i++) {
+        submit_job(CONN(1 + i), 4, PRIO_NORMAL, "");
+        Net_Run(&net, 20);
+    }
+    Net_Run(&net, 500);
+    for (uint32_t i = 0; i < 40; i++) {
+        complete += Net_Answer(&net, CONN(1 + i)) == CODE_OK;
+    }
+    assert_true(complete >= 36);
+}
+
+/* When all workers fail, the tasks are at fault: nobody is left out. */
+static void
+a_bad_kind_does_not_empty_the_fleet(void **state)
+{
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        agents[i]->fail = CODE_TASK_FAILED;
+        agents[i]->run_ms = 1;
+    }
+    for (uint32_t i = 0; i < 20; i++) {
+        submit_job(CONN(1 + i), 4, PRIO_NORMAL, "");
+        Net_Run(&net, 20);
+    }
+    agents[0]->fail = CODE_OK;
+    agents[1]->fail = CODE_OK;
+    submit_job(CONN(50), 4, PRIO_NORMAL, "");
+    Net_Run(&net, 300);
+    assert_int_equal(Net_Answer(&net, CONN(50)), CODE_OK);
+}
+
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int
+main(void)
+{
+    const struct CMUnitTest list[] = {
+        T(a_job_that_ends_too_late_is_refused_unstarted),
+        T(a_deep_queue_refuses_with_a_time_to_retry),
+        T(a_time_to_retry_is_bounded_and_spread),
+        T(an_urgent_job_passes_waiting_ones),
+        T(urgent_work_leaves_a_share_to_the_rest),
+        T(a_request_does_not_wait_behind_jobs),
+        T(teams_of_a_class_share_fairly),
+        T(run_times_are_learned_by_kind),
+        T(declared_times_are_corrected),
+        T(a_straggler_has_a_pace),
+        T(what_fits_no_worker_is_refused_with_the_reason),
+        T(a_worker_that_fails_gets_no_more),
+        T(a_bad_kind_does_not_empty_the_fleet),
+    };
+    return cmocka_run_group_tests(list, NULL, NULL);
+}
