--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -5,8 +5,9 @@
 
 #include "entry_impl.h"
 
-/* Time over which the load of a class is averaged. */
-#define LOAD_US (4.0 * US_PER_S)
+/* Time over which the load of a class is averaged: a burst that waits is
+ * counted as waiting already. */
+#define LOAD_US (20.0 * US_PER_S)
 /* Bounds of what a refused caller is told to wait. */
 #define LEAST_RETRY_MS 100
 #define MOST_RETRY_MS 10000
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -353,7 +353,7 @@
         suspects += agent->suspect;
     }
     service->use_suspects =
-        suspects * 100 > agents * policy->value[POL_EJECT_SHARE];
+        (int64_t)suspects * 100 > agents * policy->value[POL_EJECT_SHARE];
 }
 
 static void
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -70,7 +70,7 @@
         sum_us += us;
         job->longest_us = us > job->longest_us ? us : job->longest_us;
     }
-    job->task_us = sum_us / job->task_count;
+    job->task_us = job->task_count ? sum_us / job->task_count : 0;
 }
 
 static void
