--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -20,6 +20,7 @@
                  settings->task_capacity) ||
         Tab_Init(&agent->jobs, sizeof(struct ag_job),
                  settings->task_capacity) ||
+        Tab_Init(&agent->hold_table, sizeof(struct ag_hold), AG_MAX_HOLDS) ||
         Tab_Init(&agent->issuers, sizeof(struct ag_issuer), issuers) ||
         Tab_Init(&agent->entries, sizeof(struct ag_entry), AG_MAX_ENTRIES)) {
         Ag_Finish(agent);
@@ -33,12 +34,14 @@
 {
     uint32_t slot = 0;
     struct ag_task *task;
+    Agi_DropHolds(agent);
     while ((task = Tab_Next(&agent->tasks, &slot))) {
         Agi_DropOutput(agent, task);
     }
     HASH_CLEAR(hh, agent->job_index);
     HASH_CLEAR(hh, agent->issuer_index);
     HASH_CLEAR(hh, agent->entry_index);
+    Tab_Finish(&agent->hold_table);
     Tab_Finish(&agent->tasks);
     Tab_Finish(&agent->jobs);
     Tab_Finish(&agent->issuers);
@@ -76,6 +79,12 @@
     beat.u.beat.version = agent->registered;
     beat.u.beat.draining = agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &beat);
+    Agi_SendOffer(agent, entry);
+}
+
+void
+Agi_SendOffer(struct agent *agent, struct ag_entry *entry)
+{
     struct msg msg = {.type = MSG_AGENT};
     struct msg_agent *status = &msg.u.agent;
     if (agent->announced_us) {
@@ -85,7 +94,14 @@
         status->memory_mb = agent->upstream.memory_mb;
         status->cores = agent->upstream.cores;
     }
-    status->busy = agent->busy + agent->foreign;
+    status->busy = Agi_Busy(agent);
+    entry->told = status->busy;
+    status->mine = entry->tasks;
+    if (Agi_IsProbing(agent)) {
+        status->slots = 1;
+        status->connections = 1;
+    }
+    status->suspect = (uint8_t)Agi_IsSuspect(agent);
     status->registered = agent->registered;
     status->leaving = agent->upstream.leaving || agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &msg);
@@ -148,7 +164,9 @@
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
+        entry->start_us = now.us;
         Agi_OnStart(agent, now, head->from, &msg->u.start);
+        Agi_SendNews(agent, now);
         break;
     case MSG_FENCE:
         Agi_OnFence(agent, now, head->from, &msg->u.fence);
@@ -178,6 +196,7 @@
     }
     else {
         agent->busy--;
+        Agi_CountTask(agent, task->from, -1);
     }
     if (agent->busy + agent->calls < agent->least) {
         agent->least = agent->busy + agent->calls;
@@ -203,7 +222,6 @@
 Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle handle,
              enum code code, struct bytes output, uint32_t run_us)
 {
-    (void)now;
     struct ag_task *task = Tab_Get(&agent->tasks, handle);
     if (!task || task->state != TASK_RUNNING) {
         return;
@@ -228,6 +246,8 @@
     }
     task->state = code == CODE_OK ? TASK_FINISHED : TASK_FAILED;
     CTR_INC(agent->counters, tasks_finished);
+    Agi_NoteOutcome(agent, now, task);
+    Agi_RunHeld(agent, now);
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
     if (Agi_KeepOutput(agent, task, output)) {
         send_unkept(agent, owner, task, output);
@@ -235,6 +255,7 @@
     else {
         Agi_SendTask(agent, owner, MSG_RESULT, task);
     }
+    Agi_SendNews(agent, now);
 }
 
 static void
@@ -285,6 +306,9 @@
         agent->next_beat_us = now.us + BEAT_INTERVAL_US;
         beat_entries(agent, now);
     }
+    Agi_CheckHealth(agent, now);
+    Agi_CheckHeld(agent, now);
+    Agi_SendNews(agent, now);
     check_leases(agent, now);
     if (agent->draining) {
         Agi_OfferResults(agent, now);
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -61,6 +61,7 @@
     TASK_FINISHED = 3, /**< Ended well; the output is known. */
     TASK_FAILED = 4,   /**< Ended badly. */
     TASK_GONE = 5,     /**< Ended; the output is no longer kept. */
+    TASK_WAITING = 6,  /**< Not started; waits at the agent for a slot. */
 };
 
 /** Flags of a submission. */
@@ -69,6 +70,9 @@
     SUB_REQUEST = 2,    /**< One call to a service: takes no task slot. */
 };
 
+/** Flag of a start: also on a worker that fails what it starts. */
+#define START_ANYWAY 0x100u
+
 /** One task of a submission. */
 struct sub_task {
     uint32_t no;     /**< The caller's number, unique in the job. */
@@ -149,10 +153,12 @@
     char service[WIRE_NAME_SIZE]; /**< "" when no upstream has announced. */
     uint32_t slots;
     uint32_t busy;
+    uint32_t mine; /**< Of these, taken by the receiver's tasks. */
     uint32_t connections;
     uint32_t memory_mb;
     uint32_t cores;
     uint64_t registered; /**< Version of the agent's registration. */
+    uint8_t suspect;     /**< The worker is out for its failures. */
     uint8_t leaving;
 };
 
@@ -171,6 +177,8 @@
     uint32_t deadline_ms; /**< From now. */
     uint32_t lease_ms;    /**< The task may run this long. */
     unsigned flags;       /**< enum sub_flags. */
+    enum priority priority;
+    uint32_t hold_ms; /**< May wait this long for a slot, 0 for not. */
     char kind[WIRE_NAME_SIZE];
     char team[WIRE_NAME_SIZE];
     uint64_t body_hash; /**< Of the whole submission that it belongs to. */
@@ -188,6 +196,7 @@
     enum code code;
     uint32_t run_us;
     uint32_t busy;      /**< Slots taken at the agent after this. */
+    uint32_t mine;      /**< Of these, taken by the receiver's tasks. */
     uint64_t body_hash; /**< The one of the start; MSG_HELD only. */
     uint32_t report;    /**< Report that it belongs to; MSG_HELD only. */
     uint32_t index;     /**< Place in the report, from 0; MSG_HELD only. */
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -131,10 +131,12 @@
     take_str(c, m->service, sizeof(m->service));
     m->slots = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     m->connections = take_u32(c);
     m->memory_mb = take_u32(c);
     m->cores = take_u32(c);
     m->registered = take_u64(c);
+    m->suspect = (uint8_t)take_max(c, 1);
     m->leaving = (uint8_t)take_max(c, 1);
 }
 
@@ -162,6 +164,8 @@
     m->deadline_ms = take_u32(c);
     m->lease_ms = take_u32(c);
     m->flags = take_u32(c);
+    m->priority = (enum priority)take_max(c, PRIO_COUNT - 1);
+    m->hold_ms = take_u32(c);
     take_str(c, m->kind, sizeof(m->kind));
     take_str(c, m->team, sizeof(m->team));
     m->body_hash = take_u64(c);
@@ -175,13 +179,14 @@
     take_epoch(c, &m->epoch);
     m->task = take_u32(c);
     m->attempt = take_u32(c);
-    m->state = (enum task_state)take_max(c, TASK_GONE);
+    m->state = (enum task_state)take_max(c, TASK_WAITING);
     if (m->state < TASK_REFUSED) {
         c->bad = 1;
     }
     m->code = take_code(c);
     m->run_us = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     if (type == MSG_HELD) {
         m->body_hash = take_u64(c);
         m->report = take_u32(c);
