--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -130,6 +130,9 @@
 /** Find or make a job. NULL when the table is full. */
 struct ent_job *Enti_AddJob(struct entry *entry, const struct key *key);
 
+/** Forget what agents reported of a job. */
+void Enti_DropHeld(struct ent_job *job);
+
 /** Forget a job. */
 void Enti_DropJob(struct entry *entry, struct ent_job *job);
 
@@ -207,6 +210,9 @@
 void Enti_LoseAgent(struct entry *entry, struct now now,
                     struct ent_peer *agent);
 
+/** Ask an agent again for all that was sent to it, soon. */
+void Enti_AskAgain(struct entry *entry, struct now now, uint64_t agent);
+
 /** Tell agents that the job's answer has been read. */
 void Enti_SendRead(struct entry *entry, struct ent_job *job);
 
