--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -130,6 +130,9 @@
 /** Find or make a job. NULL when the table is full. */
 struct ent_job *Enti_AddJob(struct entry *entry, const struct key *key);
 
+/** Forget what agents reported of a job. */
+void Enti_DropHeld(struct ent_job *job);
+
 /** Forget a job. */
 void Enti_DropJob(struct entry *entry, struct ent_job *job);
 
