--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -10,6 +10,8 @@
 Ag_Init(struct agent *agent, const struct ag_settings *settings,
         struct act_sink sink, struct counters *counters)
 {
+    uint32_t issuers =
+        settings->issuer_capacity ? settings->issuer_capacity : AG_MAX_ISSUERS;
     memset(agent, 0, sizeof(*agent));
     agent->settings = *settings;
     agent->sink = sink;
@@ -19,7 +21,7 @@
         Tab_Init(&agent->jobs, sizeof(struct ag_job),
                  settings->task_capacity) ||
         Tab_Init(&agent->hold_table, sizeof(struct ag_hold), AG_MAX_HOLDS) ||
-        Tab_Init(&agent->issuers, sizeof(struct ag_issuer), AG_MAX_ISSUERS) ||
+        Tab_Init(&agent->issuers, sizeof(struct ag_issuer), issuers) ||
         Tab_Init(&agent->entries, sizeof(struct ag_entry), AG_MAX_ENTRIES)) {
         Ag_Finish(agent);
         return -1;
@@ -156,6 +158,9 @@
     switch (msg->type) {
     case MSG_BEAT:
         entry->echo_us = msg->u.beat.sent_us;
+        if (msg->u.beat.echo_us && msg->u.beat.echo_us <= now.us) {
+            entry->back_us = msg->u.beat.echo_us;
+        }
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
@@ -264,8 +269,9 @@
             drop_entry(agent, entry);
             continue;
         }
-        if (silent_us > LINK_SILENCE_US &&
-            now.us - entry->link_us > LINK_SILENCE_US) {
+        if (now.us - entry->link_us > LINK_SILENCE_US &&
+            (silent_us > LINK_SILENCE_US ||
+             now.us - entry->back_us > LINK_SILENCE_US)) {
             CTR_INC(agent->counters, links_replaced);
             link_entry(agent, now, entry);
         }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -291,7 +291,7 @@
 static int
 drop_late(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (job->is_begun || job->waiting < job->task_count ||
+    if (job->is_begun || job->maybe_ran || job->waiting < job->task_count ||
         entry->settings.mode == ENT_BASELINE) {
         return 0;
     }
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -120,8 +120,9 @@
            const struct msg_result *result)
 {
     const struct ent_issuer *issuer = Enti_FindIssuer(entry, job->key.issuer);
-    /* Attempts are counted from new under each epoch. */
-    if (result->attempt != task->attempt ||
+    /* Attempts are counted from new under each epoch, and an agent that knows
+     * the present one says OLD_EPOCH of a start that was sent before it. */
+    if (result->attempt != task->attempt || result->code == CODE_OLD_EPOCH ||
         Epoch_Compare(result->epoch, issuer->epoch) != 0) {
         CTR_INC(entry->counters, result_stale);
         return;
@@ -252,6 +253,23 @@
     }
 }
 
+void
+Enti_AskAgain(struct entry *entry, struct now now, uint64_t agent)
+{
+    uint64_t resend_us = now.us + BEAT_INTERVAL_US;
+    for (uint32_t i = 0; i < entry->open_jobs; i++) {
+        struct ent_job *job = entry->open[i];
+        for (uint32_t j = 0; j < job->task_count; j++) {
+            struct ent_task *task = &job->tasks[j];
+            if (task->state == ENT_SENT && task->agent == agent &&
+                task->resend_us > resend_us) {
+                task->resend_us = resend_us;
+                job->due_us = 0;
+            }
+        }
+    }
+}
+
 static void
 lose_job_tasks(struct entry *entry, struct now now, struct ent_job *job,
                uint64_t agent)
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -13,7 +13,7 @@
 {
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_Service(entry, job->service_name, 0);
-    if (job->waiting == job->task_count) {
+    if (job->waiting == job->task_count && !job->maybe_ran) {
         enum code code = Enti_Admit(entry, now, job);
         if (code != CODE_OK) {
             Enti_Answer(entry, job, code, job->service_name);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -1,5 +1,5 @@
 /* What an entry takes in, in which order it serves, and what it learns. */
-#include "net.h"
+#include "caller.h"
 
 #include "../core/src/entry/entry_impl.h"
 
