Hold team quotas over all entries by reservations in heartbeats

Cause: 96 teams need quotas that hold over all entries, and the table service takes several hundred writes a second. Entries report what they reserve and grow into the rest in parts. Now at most six, as stated: one slot for each other entry (test_policy, three entries).

--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -6,6 +6,9 @@
 
 #include <stdint.h>
 
+/** A team quota that is none. */
+#define POL_NO_QUOTA 1000000
+
 /* X(NAME, "name", "unit", least, most, default, "meaning") */
 #define POLICY_TABLE(X)                                                       \
     X(IN_SERVICE, "in_service", "bool", 0, 1, 1,                              \
@@ -20,6 +23,8 @@
       "share of the starts kept for each less urgent class that waits")       \
     X(TEAM_WEIGHT, "team_weight", "parts", 1, 1000, 10,                       \
       "share of a team against the other teams of its class")                 \
+    X(TEAM_SLOTS, "team_slots", "slots", 1, POL_NO_QUOTA, POL_NO_QUOTA,       \
+      "task slots that a team may hold in the fleet at once")                 \
     X(TEAM_QUEUE, "team_queue", "tasks", 1, 1000000, 20000,                   \
       "tasks of one team that may wait at one entry")                         \
     X(HOLD_MS, "hold_ms", "ms", 0, 10000, 500,                                \
--- a/core/include/core/sched.h
+++ b/core/include/core/sched.h
@@ -18,6 +18,9 @@
 /** The same for pairs of service and kind. */
 #define ENT_MAX_KINDS 4096
 
+/** Most reports of other entries kept. */
+#define ENT_MAX_USAGES 16384
+
 struct ent_job;
 
 /** Jobs of a service that wait, in the order in which they are served. */
@@ -43,7 +46,27 @@
     uint64_t finish[ENT_LANES]; /**< Finish tag of its latest job. */
     uint32_t running;           /**< Task slots taken from here. */
     uint32_t waiting;           /**< Its tasks that wait here. */
-    uint32_t others;            /**< Slots taken from other entries. */
+    uint32_t others;            /**< Slots reserved by other entries. */
+    uint32_t wanting;           /**< Other entries where its tasks wait. */
+    uint32_t limit;    /**< Slots reserved here, when it has a quota. */
+    uint64_t grown_us; /**< When `limit` was last worked out. */
+    uint8_t told;      /**< Others know of a use here. */
+    UT_hash_handle hh;
+};
+
+/** Whose report of which team. */
+struct ent_usage_id {
+    uint64_t from; /**< Incarnation of the reporting entry. */
+    struct ent_share *share;
+};
+
+/** What another entry last reported of a team. */
+struct ent_usage {
+    struct tab_row row;
+    struct ent_usage_id id;
+    uint32_t slots;
+    uint32_t wants;
+    uint64_t heard_us;
     UT_hash_handle hh;
 };
 
@@ -63,6 +86,8 @@
     struct tab shares;
     struct ent_share *share_index;
     struct ent_share spare_share;
+    struct tab usages;
+    struct ent_usage *usage_index;
     struct tab kinds;
     struct ent_kind *kind_index;
     struct ent_kind spare_kind;
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -33,6 +33,8 @@
         Tab_Init(&entry->issuers, sizeof(struct ent_issuer), MAX_ISSUERS) ||
         Tab_Init(&entry->sched.shares, sizeof(struct ent_share),
                  ENT_MAX_SHARES) ||
+        Tab_Init(&entry->sched.usages, sizeof(struct ent_usage),
+                 ENT_MAX_USAGES) ||
         Tab_Init(&entry->sched.kinds, sizeof(struct ent_kind),
                  ENT_MAX_KINDS) ||
         Tab_Init(&entry->jobs, sizeof(struct ent_job),
@@ -61,6 +63,8 @@
     HASH_CLEAR(hh, entry->service_index);
     HASH_CLEAR(hh, entry->sched.share_index);
     HASH_CLEAR(hh, entry->sched.kind_index);
+    HASH_CLEAR(hh, entry->sched.usage_index);
+    Tab_Finish(&entry->sched.usages);
     Tab_Finish(&entry->sched.shares);
     Tab_Finish(&entry->sched.kinds);
     HASH_CLEAR(hh, entry->ask_index);
@@ -153,6 +157,9 @@
     case MSG_READ:
         on_read(entry, &msg->u.read.key);
         break;
+    case MSG_USAGE:
+        Enti_OnUsage(entry, now, peer, &msg->u.usage);
+        break;
     case MSG_VERSION:
         Enti_OnVersion(entry, now, peer, &msg->u.version);
         break;
@@ -271,6 +278,7 @@
     if (now.us >= entry->next_beat_us) {
         entry->next_beat_us = now.us + BEAT_INTERVAL_US;
         Enti_BeatPeers(entry, now);
+        Enti_SendUsage(entry, now);
     }
     if (now.us >= entry->next_scan_us) {
         entry->next_scan_us = now.us + SCAN_INTERVAL_US;
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -202,6 +202,19 @@
 /** Note that a job was given a start. */
 void Enti_Served(const struct entry *entry, struct ent_job *job);
 
+/* usage.c */
+
+/** True while the job's team may take one more slot from here. */
+int Enti_MayTake(const struct entry *entry, struct now now,
+                 const struct ent_job *job);
+
+/** Take in what another entry has reserved. */
+void Enti_OnUsage(struct entry *entry, struct now now,
+                  const struct ent_peer *peer, const struct msg_usage *msg);
+
+/** Work out the reservations again and tell the other entries. */
+void Enti_SendUsage(struct entry *entry, struct now now);
+
 /* admit.c */
 
 /** What a job has to expect. */
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -274,7 +274,7 @@
 static int
 place_task(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (job->not_before_us > now.us) {
+    if (job->not_before_us > now.us || !Enti_MayTake(entry, now, job)) {
         return -1;
     }
     struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -267,6 +267,55 @@
     assert_int_equal(Net_Answer(&net, CONN(50)), CODE_OK);
 }
 
+static void
+set_quota(struct net_node *node, int64_t slots)
+{
+    node->entry.policy.value[POL_TEAM_SLOTS] = slots;
+    Enti_Service(&node->entry, "finishing", 1)->policy.value[POL_TEAM_SLOTS] =
+        slots;
+}
+
+/* Three entries, one team, four slots: never more than one slot too many for
+ * each other entry, and nearly all of them used. */
+static void
+a_quota_holds_over_all_entries(void **state)
+{
+    (void)state;
+    struct net_node *entries[3] = {entry};
+    uint32_t most = 0;
+    uint64_t sum = 0;
+    entries[1] = Net_AddEntry(&net, "f");
+    entries[2] = Net_AddEntry(&net, "g");
+    Net_Run(&net, 1500);
+    for (uint32_t i = 0; i < 3; i++) {
+        set_quota(entries[i], 4);
+        struct submission sub = make_job(60, PRIO_NORMAL, "team");
+        sub.key = Net_Key(entries[i]);
+        Ent_OnSubmit(&entries[i]->entry, net.now, CONN(i), &sub);
+    }
+    for (int i = 0; i < 2000; i++) {
+        Net_Run(&net, 1);
+        uint32_t busy = agents[0]->agent.busy + agents[1]->agent.busy;
+        most = busy > most ? busy : most;
+        sum += busy;
+    }
+    assert_true(most <= 4 + 2);
+    assert_true(sum / 2000 >= 3);
+}
+
+/* What one entry does not use, another may. */
+static void
+a_quota_is_used_whole_by_one_entry(void **state)
+{
+    (void)state;
+    Net_AddEntry(&net, "f");
+    Net_Run(&net, 1500);
+    set_quota(entry, 6);
+    submit_job(CONN(1), 200, PRIO_NORMAL, "team");
+    Net_Run(&net, 1300);
+    assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 6);
+}
+
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int
@@ -285,6 +334,8 @@
         T(a_straggler_has_a_pace),
         T(what_fits_no_worker_is_refused_with_the_reason),
         T(a_worker_that_fails_gets_no_more),
+        T(a_quota_holds_over_all_entries),
+        T(a_quota_is_used_whole_by_one_entry),
         T(a_bad_kind_does_not_empty_the_fleet),
     };
     return cmocka_run_group_tests(list, NULL, NULL);
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -138,6 +138,7 @@
     MSG_HANDOVER,
     MSG_HANDED,
     MSG_VERSION,
+    MSG_USAGE,
 };
 
 /** Heartbeat, both ways. */
@@ -294,6 +295,23 @@
     uint8_t vouches;  /**< Has read the table service since it started. */
 };
 
+/** Most teams in one report. */
+#define WIRE_MAX_USAGE 32
+
+/** A team's part of its quota. */
+struct usage_item {
+    char service[WIRE_NAME_SIZE];
+    char team[WIRE_NAME_SIZE];
+    uint32_t slots; /**< Reserved by the sender. */
+    uint8_t wants;  /**< Tasks of the team wait at the sender. */
+};
+
+/** Entry to entry: the slots that it has reserved for teams with a quota. */
+struct msg_usage {
+    uint32_t count;
+    struct usage_item items[WIRE_MAX_USAGE];
+};
+
 /** One message. */
 struct msg {
     enum msg_type type;
@@ -315,6 +333,7 @@
         struct msg_handover handover;
         struct msg_handed handed;
         struct msg_version version;
+        struct msg_usage usage;
     } u;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -208,6 +208,19 @@
     put_uint(pk, m->vouches);
 }
 
+static void
+put_usage(msgpack_packer *pk, const struct msg_usage *m)
+{
+    msgpack_pack_array(pk, 1 + 4 * (size_t)m->count);
+    put_uint(pk, MSG_USAGE);
+    for (uint32_t i = 0; i < m->count; i++) {
+        put_str(pk, m->items[i].service);
+        put_str(pk, m->items[i].team);
+        put_uint(pk, m->items[i].slots);
+        put_uint(pk, m->items[i].wants);
+    }
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -282,6 +295,9 @@
     case MSG_HANDED:
         put_handed(pk, &msg->u.handed);
         break;
+    case MSG_USAGE:
+        put_usage(pk, &msg->u.usage);
+        break;
     case MSG_VERSION:
         put_version(pk, &msg->u.version);
         break;
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -291,13 +291,30 @@
     m->last = (uint8_t)take_max(c, 1);
 }
 
+static void
+get_usage(struct cursor *c, struct msg_usage *m)
+{
+    uint32_t count = c->left / 4;
+    if (c->left % 4 != 0 || count > WIRE_MAX_USAGE) {
+        c->bad = 1;
+        return;
+    }
+    m->count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        take_str(c, m->items[i].service, sizeof(m->items[i].service));
+        take_str(c, m->items[i].team, sizeof(m->items[i].team));
+        m->items[i].slots = take_u32(c);
+        m->items[i].wants = (uint8_t)take_max(c, 1);
+    }
+}
+
 int
 Unpk_Msg(const msgpack_object *object, struct msg *msg, struct arena *arena)
 {
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_max(&c, MSG_VERSION);
+    msg->type = (enum msg_type)take_max(&c, MSG_USAGE);
     switch (msg->type) {
     case MSG_BEAT:
         get_beat(&c, &msg->u.beat);
@@ -357,6 +374,9 @@
         take_epoch(&c, &msg->u.handed.epoch);
         msg->u.handed.last = (uint8_t)take_max(&c, 1);
         break;
+    case MSG_USAGE:
+        get_usage(&c, &msg->u.usage);
+        break;
     case MSG_VERSION:
         get_version(&c, &msg->u.version);
         break;
