Measure the use of a quota with tasks that outlive the test

The first form counted slots in the instant between two short tasks, so it could see fewer than are in use; the tasks now run on, and the count must be exact.

--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -310,9 +310,11 @@
     (void)state;
     Net_AddEntry(&net, "f");
     Net_Run(&net, 1500);
+    agents[0]->run_ms = 10000;
+    agents[1]->run_ms = 10000;
     set_quota(entry, 6);
-    submit_job(CONN(1), 200, PRIO_NORMAL, "team");
-    Net_Run(&net, 1300);
+    submit_job(CONN(1), 20, PRIO_NORMAL, "team");
+    Net_Run(&net, 3000);
     assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 6);
 }
 
