--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -132,12 +132,12 @@
     uint64_t heard_us;
     uint64_t link_us;  /**< When the connection was last made. */
     uint64_t echo_us;  /**< Entry's `sent_us` to echo. */
+    uint64_t back_us;  /**< When the latest heartbeat that came back left. */
     uint64_t version;  /**< Registry version that it has applied. */
+    uint64_t ask_us;   /**< Its latest question, to be echoed. */
     uint64_t start_us; /**< When it last sent a start. */
     uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
     uint32_t told;     /**< Slots taken, as it was last told. */
-    uint64_t ask_us;   /**< Its latest question, to be echoed. */
-    uint64_t back_us;  /**< When the latest heartbeat that came back left. */
     UT_hash_handle hh;
 };
 
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -1,5 +1,5 @@
 /* Starts that wait at an agent, its news, and workers that are put out. */
-#include "net.h"
+#include "caller.h"
 
 #define OWNER 500
 #define TAKER 600
