--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -274,7 +274,7 @@
 static int
 place_task(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (job->not_before_us > now.us) {
+    if (job->not_before_us > now.us || !Enti_MayTake(entry, now, job)) {
         return -1;
     }
     struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
@@ -291,7 +291,7 @@
 static int
 drop_late(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (job->is_begun || job->waiting < job->task_count ||
+    if (job->is_begun || job->maybe_ran || job->waiting < job->task_count ||
         entry->settings.mode == ENT_BASELINE) {
         return 0;
     }
