--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -29,7 +29,7 @@
            const struct ag_job *job)
 {
     for (const struct ag_task *task = job->tasks; task; task = task->next) {
-        if (task->state == TASK_REFUSED) {
+        if (task->state == TASK_REFUSED || task->state == TASK_WAITING) {
             continue;
         }
         struct msg_result held = {
@@ -112,6 +112,7 @@
         return;
     }
     job->cancelled = 1;
+    Agi_RevokeJob(agent, job);
     for (struct ag_task *task = job->tasks; task; task = task->next) {
         Agi_StopTask(agent, now, task);
     }
--- a/scenarios/verbs.lua
+++ b/scenarios/verbs.lua
@@ -5,6 +5,8 @@
 local KEY = "scenario key, not secret"
 local TOKEN = "scenario-operator"
 local TOKEN_HASH
+-- A caller waits this long before it submits again.
+local RESUBMIT_US = 700000
 local base = tonumber(BASE_PORT)
 local seed = tonumber(SEED)
 local timeline, jobs, nodes, running = {}, {}, {}, {}
@@ -258,7 +260,11 @@
       collect(job)
       if not job.state and not is_busy(job) then
         local n = math.random(fleet and fleet.entries or 1)
-        if fleet and running["entry-" .. n] then resubmit(job, n) elseif not fleet then return true end
+        if not fleet then return true end
+        if running["entry-" .. n] and (job.again or 0) <= sys.now_us() then
+          job.again = sys.now_us() + RESUBMIT_US
+          resubmit(job, n)
+        end
       end
       all = all and (job.state or not fleet) and not is_busy(job)
     end
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -55,15 +55,17 @@
 static void
 put_agent(msgpack_packer *pk, const struct msg_agent *m)
 {
-    msgpack_pack_array(pk, 9);
+    msgpack_pack_array(pk, 11);
     put_uint(pk, MSG_AGENT);
     put_str(pk, m->service);
     put_uint(pk, m->slots);
     put_uint(pk, m->busy);
+    put_uint(pk, m->mine);
     put_uint(pk, m->connections);
     put_uint(pk, m->memory_mb);
     put_uint(pk, m->cores);
     put_uint(pk, m->registered);
+    put_uint(pk, m->suspect);
     put_uint(pk, m->leaving);
 }
 
@@ -81,7 +83,7 @@
 static void
 put_start(msgpack_packer *pk, const struct msg_start *m)
 {
-    msgpack_pack_array(pk, 13);
+    msgpack_pack_array(pk, 15);
     put_uint(pk, MSG_START);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -90,6 +92,8 @@
     put_uint(pk, m->deadline_ms);
     put_uint(pk, m->lease_ms);
     put_uint(pk, m->flags);
+    put_uint(pk, m->priority);
+    put_uint(pk, m->hold_ms);
     put_str(pk, m->kind);
     put_str(pk, m->team);
     put_uint(pk, m->body_hash);
@@ -99,7 +103,7 @@
 static void
 put_result(msgpack_packer *pk, enum msg_type type, const struct msg_result *m)
 {
-    msgpack_pack_array(pk, type == MSG_HELD ? 14 : 11);
+    msgpack_pack_array(pk, type == MSG_HELD ? 15 : 12);
     put_uint(pk, type);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -109,6 +113,7 @@
     put_uint(pk, m->code);
     put_uint(pk, m->run_us);
     put_uint(pk, m->busy);
+    put_uint(pk, m->mine);
     if (type == MSG_HELD) {
         put_uint(pk, m->body_hash);
         put_uint(pk, m->report);
@@ -203,6 +208,19 @@
     put_uint(pk, m->vouches);
 }
 
+static void
+put_usage(msgpack_packer *pk, const struct msg_usage *m)
+{
+    msgpack_pack_array(pk, 1 + 4 * (size_t)m->count);
+    put_uint(pk, MSG_USAGE);
+    for (uint32_t i = 0; i < m->count; i++) {
+        put_str(pk, m->items[i].service);
+        put_str(pk, m->items[i].team);
+        put_uint(pk, m->items[i].slots);
+        put_uint(pk, m->items[i].wants);
+    }
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -277,6 +295,9 @@
     case MSG_HANDED:
         put_handed(pk, &msg->u.handed);
         break;
+    case MSG_USAGE:
+        put_usage(pk, &msg->u.usage);
+        break;
     case MSG_VERSION:
         put_version(pk, &msg->u.version);
         break;
