Begin each key with a letter

Cause: one key in 64 began with '-', and the command line took it for an option: submitting it again failed for ever (seen in the scenario planned_stop). test_key checks the letter; its length of the text grew by it.

--- a/tests/test_key.c
+++ b/tests/test_key.c
@@ -19,7 +19,8 @@
     char text[KEY_TEXT_SIZE];
     Key_Derive(&secret, "a passphrase");
     Key_Format(&key, &secret, text);
-    assert_int_equal(strlen(text), KEY_TEXT_SIZE - 2);
+    assert_int_equal(strlen(text), KEY_TEXT_SIZE - 1);
+    assert_int_equal(text[0], 'k');
     assert_int_equal(Key_Parse(&back, &secret, text, &err), 0);
     assert_true(Key_Equal(&key, &back));
 }
--- a/wire/include/wire/key.h
+++ b/wire/include/wire/key.h
@@ -33,7 +33,7 @@
 /** Derive the secret from a passphrase of the settings. */
 void Key_Derive(struct key_secret *secret, const char *passphrase);
 
-/** Text form of a signed key, 54 characters of base64url. */
+/** Text form of a signed key: a "k", then 54 characters of base64url. */
 void Key_Format(const struct key *key, const struct key_secret *secret,
                 char text[KEY_TEXT_SIZE]);
 
--- a/wire/src/key.c
+++ b/wire/src/key.c
@@ -3,6 +3,8 @@
 #include <sodium.h>
 #include <string.h>
 
+/* First letter of a key's text. */
+#define KEY_MARK 'k'
 #define BODY_SIZE (KEY_RAW_SIZE - KEY_MAC_SIZE)
 
 static void
@@ -50,7 +52,9 @@
     put_be(raw + 16, key->seq, 4);
     put_be(raw + 20, key->issued_s, 4);
     sign(raw, secret, raw + BODY_SIZE);
-    sodium_bin2base64(text, KEY_TEXT_SIZE, raw, sizeof(raw),
+    /* A text that began with '-' would be taken for an option in a shell. */
+    text[0] = KEY_MARK;
+    sodium_bin2base64(text + 1, KEY_TEXT_SIZE - 1, raw, sizeof(raw),
                       sodium_base64_VARIANT_URLSAFE_NO_PADDING);
 }
 
@@ -61,11 +65,13 @@
     unsigned char raw[KEY_RAW_SIZE];
     unsigned char mac[KEY_MAC_SIZE];
     size_t size;
-    if (sodium_base642bin(raw, sizeof(raw), text, strlen(text), NULL, &size,
-                          NULL, sodium_base64_VARIANT_URLSAFE_NO_PADDING) ||
+    if (text[0] != KEY_MARK ||
+        sodium_base642bin(raw, sizeof(raw), text + 1, strlen(text + 1), NULL,
+                          &size, NULL,
+                          sodium_base64_VARIANT_URLSAFE_NO_PADDING) ||
         size != sizeof(raw)) {
         return Err_Set(err, CODE_BAD_KEY, "key is not %d characters of ours",
-                       KEY_TEXT_SIZE - 2);
+                       KEY_TEXT_SIZE - 1);
     }
     sign(raw, secret, mac);
     if (sodium_memcmp(mac, raw + BODY_SIZE, KEY_MAC_SIZE) != 0) {
