--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -6,6 +6,9 @@
 
 #include <stdint.h>
 
+/** A team quota that is none. */
+#define POL_NO_QUOTA 1000000
+
 /* X(NAME, "name", "unit", least, most, default, "meaning") */
 #define POLICY_TABLE(X)                                                       \
     X(IN_SERVICE, "in_service", "bool", 0, 1, 1,                              \
@@ -14,6 +17,24 @@
       "longest run time of a task")                                           \
     X(QUEUE_LIMIT, "queue_limit", "tasks", 1, 1000000, 20000,                 \
       "tasks that may wait for a slot at one entry")                          \
+    X(QUEUE_WAIT_MS, "queue_wait_ms", "ms", 0, 3600000, 3000,                 \
+      "longest expected wait for a slot of a job that is taken in")           \
+    X(LEAST_SHARE, "least_share", "percent", 0, 50, 5,                        \
+      "share of the starts kept for each less urgent class that waits")       \
+    X(TEAM_WEIGHT, "team_weight", "parts", 1, 1000, 10,                       \
+      "share of a team against the other teams of its class")                 \
+    X(TEAM_SLOTS, "team_slots", "slots", 1, POL_NO_QUOTA, POL_NO_QUOTA,       \
+      "task slots that a team may hold in the fleet at once")                 \
+    X(TEAM_QUEUE, "team_queue", "tasks", 1, 1000000, 20000,                   \
+      "tasks of one team that may wait at one entry")                         \
+    X(HOLD_MS, "hold_ms", "ms", 0, 10000, 500,                                \
+      "time that a start may wait at an agent for a slot")                    \
+    X(HOLD_TASKS, "hold_tasks", "tasks", 0, 64, 1,                            \
+      "starts sent to an agent beyond its slots when all are taken")          \
+    X(EJECT_SHARE, "eject_share", "percent", 0, 100, 30,                      \
+      "most workers of a service that may be out for their failures")         \
+    X(SLOW_PERCENT, "slow_percent", "percent", 110, 10000, 170,               \
+      "run time over the expected from which an agent is used last")          \
     X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 10000,               \
       "time over which a returning upstream is given its slots back")
 
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -2,7 +2,6 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "entry_impl.h"
 
@@ -355,13 +354,3 @@
     job->rerouted = 0;
     Enti_SetState(entry, job, ENT_JOB_HELD);
 }
-
-void
-Enti_Unqueue(struct ent_job *job)
-{
-    if (job->queued) {
-        job->service->waiting -= job->waiting;
-        DL_DELETE(job->service->queue[job->priority], job);
-        job->queued = 0;
-    }
-}
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -138,12 +138,10 @@
         return;
     }
     Enti_Requeue(entry, now, job, task);
-    if (result->code == CODE_NO_SLOT) {
-        agent->others = result->busy > agent->outstanding
-                            ? result->busy - agent->outstanding
-                            : 0;
+    if (result->code == CODE_UNHEALTHY) {
+        agent->suspect = 1;
     }
-    else {
+    else if (result->code != CODE_NO_SLOT) {
         agent->leaving = 1;
     }
 }
@@ -158,9 +156,11 @@
         on_refused(entry, now, job, task, agent, result);
         break;
     case TASK_RUNNING:
+    case TASK_WAITING:
         task->resend_us = now.us + RUNNING_RESEND_US;
         break;
     case TASK_FINISHED:
+        Enti_Learn(job, task, agent, result->run_us);
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
@@ -192,6 +192,14 @@
     return 0;
 }
 
+/* Each result is news of what others have running there. */
+static void
+note_busy(struct ent_peer *agent, const struct msg_result *result)
+{
+    agent->others =
+        result->busy > result->mine ? result->busy - result->mine : 0;
+}
+
 /* An agent that is stopping waits until its outcomes are safe here. */
 static void
 send_taken(struct entry *entry, const struct ent_peer *agent,
@@ -238,6 +246,7 @@
     else {
         apply_result(entry, now, job, task, agent, result);
     }
+    note_busy(agent, result);
     send_taken(entry, agent, result, job);
     if (service && service->waiting) {
         Enti_Place(entry, now, service);
