--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -12,14 +12,19 @@
 #include "core/clock.h"
 #include "wire/msg.h"
 
-/** Most issuer numbers whose epochs an agent keeps. */
-#define AG_MAX_ISSUERS 4096
+/** Issuer numbers whose epochs an agent keeps, unless set otherwise. */
+#define AG_MAX_ISSUERS 32768
 /** Most entries that an agent talks to. */
 #define AG_MAX_ENTRIES 256
+/** Most starts that may wait for a slot. */
+#define AG_MAX_HOLDS 1024
+/** An entry that sent a start of late is told when the slots taken differ
+ * by this many from what it knows, or all are taken. */
+#define AG_NEWS_SLOTS 2
+/** Such an entry sent a start within this time. */
+#define AG_NEWS_US (1 * US_PER_S)
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
-/** An epoch above the first is kept at least this long after its last use. */
-#define AG_EPOCH_KEEP_US (25 * 3600 * US_PER_S)
 /** An order to stop a task is given again after this. */
 #define AG_STOP_RETRY_US (1 * US_PER_S)
 /** A stopping agent offers its results again after this. */
@@ -32,9 +37,10 @@
 /** Settings of an agent. */
 struct ag_settings {
     uint64_t incarnation;
-    uint32_t task_capacity;  /**< Starts remembered at once. */
-    uint32_t key_lifetime_s; /**< Keys older than this are forgotten. */
-    uint8_t check_fresh;     /**< Start nothing unless fresh. */
+    uint32_t task_capacity;   /**< Starts remembered at once. */
+    uint32_t key_lifetime_s;  /**< Keys older than this are forgotten. */
+    uint32_t issuer_capacity; /**< 0 for AG_MAX_ISSUERS. */
+    uint8_t check_fresh;      /**< Start nothing unless fresh. */
 };
 
 /** What an upstream says of itself. */
@@ -60,6 +66,7 @@
     struct ag_job *job;
     struct ag_task *next; /**< Of the same job. */
     struct epoch epoch;
+    uint64_t from; /**< Incarnation of the entry that it counts for. */
     uint32_t no;
     uint32_t attempt;
     enum task_state state;
@@ -74,6 +81,27 @@
     struct bytes output;              /**< Owned. */
 };
 
+/** What the outcomes say of the worker. */
+struct ag_health {
+    uint32_t failures;     /**< In a row, each of another job. */
+    struct ag_key_id last; /**< Job of the latest failure. */
+    uint64_t since_us;     /**< When the first of the row ended. */
+    uint64_t out_us;       /**< How long it was last put out, 0 for not. */
+    uint64_t out_until_us; /**< 0 when it is not out. */
+    uint8_t probing;       /**< Back, with one task at a time. */
+};
+
+/** A start that waits for a slot. */
+struct ag_hold {
+    struct tab_row row;
+    struct ag_hold *prev, *next; /**< Of the same priority class. */
+    struct ag_task *task;
+    uint64_t from; /**< Incarnation of the sender. */
+    uint64_t since_us;
+    uint64_t until_us;      /**< Refused when it still waits then. */
+    struct msg_start start; /**< Its input is owned. */
+};
+
 /** What is remembered of a key. */
 struct ag_job {
     struct tab_row row;
@@ -102,10 +130,14 @@
     uint64_t incarnation;
     char addr[WIRE_ADDR_SIZE];
     uint64_t heard_us;
-    uint64_t link_us; /**< When the connection was last made. */
-    uint64_t echo_us; /**< Entry's `sent_us` to echo. */
-    uint64_t version; /**< Registry version that it has applied. */
-    uint64_t ask_us;  /**< Its latest question, to be echoed. */
+    uint64_t link_us;  /**< When the connection was last made. */
+    uint64_t echo_us;  /**< Entry's `sent_us` to echo. */
+    uint64_t back_us;  /**< When the latest heartbeat that came back left. */
+    uint64_t version;  /**< Registry version that it has applied. */
+    uint64_t ask_us;   /**< Its latest question, to be echoed. */
+    uint64_t start_us; /**< When it last sent a start. */
+    uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
+    uint32_t told;     /**< Slots taken, as it was last told. */
     UT_hash_handle hh;
 };
 
@@ -128,7 +160,11 @@
     uint32_t busy;         /**< Task slots taken. */
     uint32_t calls;        /**< Connections taken by requests. */
     uint32_t foreign;      /**< Tasks running since before this process. */
-    uint32_t least;        /**< Least `busy + calls` since an announcement. */
+    struct ag_health health;
+    struct tab hold_table;
+    struct ag_hold *holds[PRIO_COUNT];
+    uint32_t held;  /**< Starts that wait for a slot. */
+    uint32_t least; /**< Least `busy + calls` since an announcement. */
     struct ag_task *running;
     uint64_t output_bytes;
     uint32_t report; /**< Number of the latest report to a taker. */
--- a/core/src/agent/offer.c
+++ b/core/src/agent/offer.c
@@ -20,7 +20,8 @@
 static int
 is_untaken(const struct ag_task *task)
 {
-    return task->state >= TASK_FINISHED && !task->taken && !task->job->read;
+    return task->state >= TASK_FINISHED && task->state <= TASK_GONE &&
+           !task->taken && !task->job->read;
 }
 
 void
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -2,7 +2,6 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "entry_impl.h"
 
@@ -75,8 +74,8 @@
     job->state = state;
 }
 
-static void
-drop_held(struct ent_job *job)
+void
+Enti_DropHeld(struct ent_job *job)
 {
     while (job->held) {
         struct ent_held *held = job->held;
@@ -123,7 +122,7 @@
     Enti_SetState(entry, job, ENT_JOB_ANSWERED);
     Enti_Unqueue(job);
     drop_waiters(job);
-    drop_held(job);
+    Enti_DropHeld(job);
     drop_body(job);
     drop_tasks(job);
     HASH_DELETE(hh, entry->job_index, job);
@@ -336,7 +335,7 @@
         }
     }
     set_answer(entry, job, code, detail);
-    drop_held(job);
+    Enti_DropHeld(job);
 }
 
 void
@@ -355,13 +354,3 @@
     job->rerouted = 0;
     Enti_SetState(entry, job, ENT_JOB_HELD);
 }
-
-void
-Enti_Unqueue(struct ent_job *job)
-{
-    if (job->queued) {
-        job->service->waiting -= job->waiting;
-        DL_DELETE(job->service->queue[job->priority], job);
-        job->queued = 0;
-    }
-}
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -205,6 +205,7 @@
         }
         else {
             agent->outstanding++;
+            job->share->running++;
         }
         return CODE_OK;
     case TASK_FAILED:
@@ -212,6 +213,7 @@
     case TASK_GONE:
         return CODE_ANSWER_GONE;
     case TASK_REFUSED:
+    case TASK_WAITING:
         break;
     }
     return CODE_OK;
@@ -262,6 +264,8 @@
             fault = code;
         }
     }
+    /* Used up: a later takeover collects anew. */
+    Enti_DropHeld(job);
     if (uncertain && job->waiting > 0) {
         job->maybe_ran = 1;
         if (!may_repeat(job)) {
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -51,7 +51,7 @@
 {
     const msgpack_object *object = take(c, MSGPACK_OBJECT_STR);
     out[0] = '\0';
-    if (!object) {
+    if (!object || object->via.str.size == 0) {
         return;
     }
     if (object->via.str.size >= size ||
@@ -131,10 +131,12 @@
     take_str(c, m->service, sizeof(m->service));
     m->slots = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     m->connections = take_u32(c);
     m->memory_mb = take_u32(c);
     m->cores = take_u32(c);
     m->registered = take_u64(c);
+    m->suspect = (uint8_t)take_max(c, 1);
     m->leaving = (uint8_t)take_max(c, 1);
 }
 
@@ -162,6 +164,8 @@
     m->deadline_ms = take_u32(c);
     m->lease_ms = take_u32(c);
     m->flags = take_u32(c);
+    m->priority = (enum priority)take_max(c, PRIO_COUNT - 1);
+    m->hold_ms = take_u32(c);
     take_str(c, m->kind, sizeof(m->kind));
     take_str(c, m->team, sizeof(m->team));
     m->body_hash = take_u64(c);
@@ -175,13 +179,14 @@
     take_epoch(c, &m->epoch);
     m->task = take_u32(c);
     m->attempt = take_u32(c);
-    m->state = (enum task_state)take_max(c, TASK_GONE);
+    m->state = (enum task_state)take_max(c, TASK_WAITING);
     if (m->state < TASK_REFUSED) {
         c->bad = 1;
     }
     m->code = take_code(c);
     m->run_us = take_u32(c);
     m->busy = take_u32(c);
+    m->mine = take_u32(c);
     if (type == MSG_HELD) {
         m->body_hash = take_u64(c);
         m->report = take_u32(c);
@@ -286,13 +291,30 @@
     m->last = (uint8_t)take_max(c, 1);
 }
 
+static void
+get_usage(struct cursor *c, struct msg_usage *m)
+{
+    uint32_t count = c->left / 4;
+    if (c->left % 4 != 0 || count > WIRE_MAX_USAGE) {
+        c->bad = 1;
+        return;
+    }
+    m->count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        take_str(c, m->items[i].service, sizeof(m->items[i].service));
+        take_str(c, m->items[i].team, sizeof(m->items[i].team));
+        m->items[i].slots = take_u32(c);
+        m->items[i].wants = (uint8_t)take_max(c, 1);
+    }
+}
+
 int
 Unpk_Msg(const msgpack_object *object, struct msg *msg, struct arena *arena)
 {
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_max(&c, MSG_VERSION);
+    msg->type = (enum msg_type)take_max(&c, MSG_USAGE);
     switch (msg->type) {
     case MSG_BEAT:
         get_beat(&c, &msg->u.beat);
@@ -352,6 +374,9 @@
         take_epoch(&c, &msg->u.handed.epoch);
         msg->u.handed.last = (uint8_t)take_max(&c, 1);
         break;
+    case MSG_USAGE:
+        get_usage(&c, &msg->u.usage);
+        break;
     case MSG_VERSION:
         get_version(&c, &msg->u.version);
         break;
