Show how an entry stands, and response times by kind

jacinthpick status prints the entry's jobs and, for each service, usable and failing workers, slots and waiting tasks; /metrics gains a histogram of response times for each kind.

--- a/cli/main.c
+++ b/cli/main.c
@@ -26,6 +26,7 @@
     "\n"
     "Commands for operators:\n"
     "  health                is the entry serving?\n"
+    "  status                how the entry and its services stand\n"
     "  counters              print the process's counters\n"
     "  status                members and how fresh the entry is\n"
     "  defaults [show]       show all settings with their ranges\n"
@@ -270,6 +271,9 @@
     if (strcmp(command, "health") == 0) {
         return get(client, "/v1/health");
     }
+    if (strcmp(command, "status") == 0) {
+        return get(client, "/v1/status");
+    }
     if (strcmp(command, "counters") == 0) {
         return get(client, "/metrics");
     }
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -406,4 +406,12 @@
  * have been handed to another entry or there is none. */
 int Ent_IsIdle(const struct entry *entry);
 
+/** Write one line on this entry and one on each service. Returns the bytes
+ * written; what does not fit is left out. */
+size_t Ent_PrintStatus(const struct entry *entry, struct now now, char *out,
+                       size_t size);
+
+/** Write the response times by kind, as text for /metrics. */
+size_t Ent_PrintKinds(const struct entry *entry, char *out, size_t size);
+
 #endif
--- a/core/include/core/sched.h
+++ b/core/include/core/sched.h
@@ -70,6 +70,17 @@
     UT_hash_handle hh;
 };
 
+/** Buckets of a histogram; the last has no bound. */
+#define ENT_BUCKETS 14
+/** Bound of the first bucket; each next one is twice as high. */
+#define ENT_FIRST_BUCKET_MS 8u
+
+/** Response times. */
+struct ent_histogram {
+    uint64_t count[ENT_BUCKETS];
+    uint64_t sum_ms;
+};
+
 /** What has been learned of a kind of task. */
 struct ent_kind {
     struct tab_row row;
@@ -78,6 +89,7 @@
     uint32_t declared;   /**< The same of those with a declared time. */
     double mean_us;      /**< Run time. */
     double per_declared; /**< True over declared run time. */
+    struct ent_histogram responses; /**< Of jobs answered complete here. */
     UT_hash_handle hh;
 };
 
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -202,6 +202,11 @@
 /** Note that a job was given a start. */
 void Enti_Served(const struct entry *entry, struct ent_job *job);
 
+/* status.c */
+
+/** Count the response time of a job that is answered complete. */
+void Enti_CountResponse(const struct ent_job *job, struct now now);
+
 /* usage.c */
 
 /** True while the job's team may take one more slot from here. */
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -245,6 +245,9 @@
     }
     else {
         apply_result(entry, now, job, task, agent, result);
+        if (job->state == ENT_JOB_ANSWERED && job->code == CODE_OK) {
+            Enti_CountResponse(job, now);
+        }
     }
     note_busy(agent, result);
     send_taken(entry, agent, result, job);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -12,6 +12,10 @@
 #include "shell/link.h"
 #include "shell/registry.h"
 
+/* Room for the text of /metrics and of /v1/status. */
+#define METRICS_SIZE (512u << 10)
+#define STATUS_SIZE (32u << 10)
+
 struct entry_daemon {
     const struct settings *settings;
     struct counters counters;
@@ -205,10 +209,9 @@
 }
 
 static void
-reply_counters(struct entry_daemon *daemon, conn_id conn)
+reply_plain(struct entry_daemon *daemon, conn_id conn, const char *text,
+            size_t size)
 {
-    static char text[32768];
-    int size = Ctr_Print(&daemon->counters, text, sizeof(text));
     struct hs_reply reply = {
         .status = 200,
         .type = "text/plain",
@@ -217,6 +220,24 @@
     Hs_Reply(&daemon->httpd, conn, &reply);
 }
 
+static void
+reply_counters(struct entry_daemon *daemon, conn_id conn)
+{
+    static char text[METRICS_SIZE];
+    size_t size = (size_t)Ctr_Print(&daemon->counters, text, sizeof(text) / 2);
+    size += Ent_PrintKinds(&daemon->core, text + size, sizeof(text) - size);
+    reply_plain(daemon, conn, text, size);
+}
+
+static void
+reply_status(struct entry_daemon *daemon, conn_id conn)
+{
+    static char text[STATUS_SIZE];
+    size_t size =
+        Ent_PrintStatus(&daemon->core, Loop_Now(), text, sizeof(text));
+    reply_plain(daemon, conn, text, size);
+}
+
 static void
 reply_health(struct entry_daemon *daemon, conn_id conn)
 {
@@ -283,6 +304,9 @@
     else if (method == HS_GET && strcmp(path, "/metrics") == 0) {
         reply_counters(daemon, request->conn);
     }
+    else if (method == HS_GET && strcmp(path, "/v1/status") == 0) {
+        reply_status(daemon, request->conn);
+    }
     else if (method == HS_GET && strcmp(path, "/v1/health") == 0) {
         reply_health(daemon, request->conn);
     }
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -267,6 +267,24 @@
     assert_int_equal(Net_Answer(&net, CONN(50)), CODE_OK);
 }
 
+static void
+operators_can_read_how_it_stands(void **state)
+{
+    (void)state;
+    char text[65536];
+    submit_job(CONN(1), 4, PRIO_NORMAL, "");
+    Net_Run(&net, 10);
+    Ent_PrintStatus(&entry->entry, net.now, text, sizeof(text));
+    assert_non_null(strstr(text, "serving: 1 jobs open"));
+    assert_non_null(strstr(text, "2 of 2 workers usable"));
+    assert_non_null(strstr(text, "4 of 16 slots"));
+    Net_Run(&net, 200);
+    Ent_PrintKinds(&entry->entry, text, sizeof(text));
+    assert_non_null(strstr(text, "kind=\"buff-plan\",le=\"8\"} 0"));
+    assert_non_null(strstr(text, "kind=\"buff-plan\",le=\"+Inf\"} 1"));
+    assert_true(Ent_PrintKinds(&entry->entry, text, 100) < 100);
+}
+
 static void
 set_quota(struct net_node *node, int64_t slots)
 {
@@ -336,6 +354,7 @@
         T(a_straggler_has_a_pace),
         T(what_fits_no_worker_is_refused_with_the_reason),
         T(a_worker_that_fails_gets_no_more),
+        T(operators_can_read_how_it_stands),
         T(a_quota_holds_over_all_entries),
         T(a_quota_is_used_whole_by_one_entry),
         T(a_bad_kind_does_not_empty_the_fleet),
