--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -7,15 +7,12 @@
 #include "base/log.h"
 #include "control.h"
 #include "daemon.h"
+#include "pages.h"
 #include "shell/api.h"
 #include "shell/httpd.h"
 #include "shell/link.h"
 #include "shell/registry.h"
 
-/* Room for the text of /metrics and of /v1/status. */
-#define METRICS_SIZE (512u << 10)
-#define STATUS_SIZE (32u << 10)
-
 struct entry_daemon {
     const struct settings *settings;
     struct counters counters;
@@ -208,36 +205,6 @@
     Ent_OnAsk(&daemon->core, Loop_Now(), request->conn, &key, what);
 }
 
-static void
-reply_plain(struct entry_daemon *daemon, conn_id conn, const char *text,
-            size_t size)
-{
-    struct hs_reply reply = {
-        .status = 200,
-        .type = "text/plain",
-        .body = {text, (uint32_t)size},
-    };
-    Hs_Reply(&daemon->httpd, conn, &reply);
-}
-
-static void
-reply_counters(struct entry_daemon *daemon, conn_id conn)
-{
-    static char text[METRICS_SIZE];
-    size_t size = (size_t)Ctr_Print(&daemon->counters, text, sizeof(text) / 2);
-    size += Ent_PrintKinds(&daemon->core, text + size, sizeof(text) - size);
-    reply_plain(daemon, conn, text, size);
-}
-
-static void
-reply_status(struct entry_daemon *daemon, conn_id conn)
-{
-    static char text[STATUS_SIZE];
-    size_t size =
-        Ent_PrintStatus(&daemon->core, Loop_Now(), text, sizeof(text));
-    reply_plain(daemon, conn, text, size);
-}
-
 static void
 reply_health(struct entry_daemon *daemon, conn_id conn)
 {
@@ -302,10 +269,11 @@
         Admin_OnRequest(&daemon->control, request);
     }
     else if (method == HS_GET && strcmp(path, "/metrics") == 0) {
-        reply_counters(daemon, request->conn);
+        Pages_Metrics(&daemon->httpd, request->conn, &daemon->counters,
+                      &daemon->core);
     }
     else if (method == HS_GET && strcmp(path, "/v1/status") == 0) {
-        reply_status(daemon, request->conn);
+        Pages_Status(&daemon->httpd, request->conn, &daemon->core);
     }
     else if (method == HS_GET && strcmp(path, "/v1/health") == 0) {
         reply_health(daemon, request->conn);
