--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -74,8 +74,8 @@
     job->state = state;
 }
 
-static void
-drop_held(struct ent_job *job)
+void
+Enti_DropHeld(struct ent_job *job)
 {
     while (job->held) {
         struct ent_held *held = job->held;
@@ -122,7 +122,7 @@
     Enti_SetState(entry, job, ENT_JOB_ANSWERED);
     Enti_Unqueue(job);
     drop_waiters(job);
-    drop_held(job);
+    Enti_DropHeld(job);
     drop_body(job);
     drop_tasks(job);
     HASH_DELETE(hh, entry->job_index, job);
@@ -335,7 +335,7 @@
         }
     }
     set_answer(entry, job, code, detail);
-    drop_held(job);
+    Enti_DropHeld(job);
 }
 
 void
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -264,6 +264,8 @@
             fault = code;
         }
     }
+    /* Used up: a later takeover collects anew. */
+    Enti_DropHeld(job);
     if (uncertain && job->waiting > 0) {
         job->maybe_ran = 1;
         if (!may_repeat(job)) {
