--- a/core/src/entry/status.c
+++ b/core/src/entry/status.c
@@ -44,7 +44,7 @@
 copy_label(char *out, const char *name)
 {
     size_t i = 0;
-    for (; name[i] && i < WIRE_NAME_SIZE - 1; i++) {
+    for (; i < WIRE_NAME_SIZE - 1 && name[i]; i++) {
         int is_bad = name[i] == '"' || name[i] == '\\' || name[i] < ' ';
         out[i] = is_bad ? '_' : name[i];
     }
