--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -35,7 +35,7 @@
       "most workers of a service that may be out for their failures")         \
     X(SLOW_PERCENT, "slow_percent", "percent", 110, 10000, 170,               \
       "run time over the expected from which an agent is used last")          \
-    X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 10000,               \
+    X(RETURN_RAMP_MS, "return_ramp_ms", "ms", 0, 600000, 2000,                \
       "time over which a returning upstream is given its slots back")
 
 /** Index of a setting. */
