--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -235,9 +235,27 @@
     Act_Send(&entry->sink, task->agent, &msg);
 }
 
+/* The last task to end decides, so the longest is started first. */
+static struct ent_task *
+longest_waiting(struct ent_job *job)
+{
+    struct ent_task *longest = NULL;
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        struct ent_task *task = &job->tasks[i];
+        if (task->state == ENT_WAITING &&
+            (!longest || task->run_ms > longest->run_ms)) {
+            longest = task;
+        }
+    }
+    return longest;
+}
+
 static struct ent_task *
 next_waiting(struct ent_job *job)
 {
+    if (job->longest_us > job->task_us) {
+        return longest_waiting(job);
+    }
     while (job->tasks[job->next_waiting].state != ENT_WAITING) {
         job->next_waiting = (job->next_waiting + 1) % job->task_count;
     }
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -285,6 +285,19 @@
     assert_true(Ent_PrintKinds(&entry->entry, text, 100) < 100);
 }
 
+static void
+the_longest_task_of_a_job_starts_first(void **state)
+{
+    (void)state;
+    struct submission sub = make_job(40, PRIO_NORMAL, "");
+    for (uint32_t i = 0; i < 40; i++) {
+        tasks[i].run_ms = i == 30 ? 400 : 100 - i;
+    }
+    submit(CONN(1), &sub);
+    Net_Run(&net, 10);
+    assert_int_equal(net.starts[0].task, 31);
+}
+
 static void
 set_quota(struct net_node *node, int64_t slots)
 {
@@ -354,6 +367,7 @@
         T(a_straggler_has_a_pace),
         T(what_fits_no_worker_is_refused_with_the_reason),
         T(a_worker_that_fails_gets_no_more),
+        T(the_longest_task_of_a_job_starts_first),
         T(operators_can_read_how_it_stands),
         T(a_quota_holds_over_all_entries),
         T(a_quota_is_used_whole_by_one_entry),
