Let the relay sleep until bytes come

Cause: the relay looked at all its connections every 500 us, about 50% of a core each, and slowed every scenario run on a shared machine. It now waits on an epoll set in the loop, and looks at a timer only while bytes are delayed.

Seen: the scenarios silence_agent, silence_entry and cut_agent pass.

--- a/standins/relay.c
+++ b/standins/relay.c
@@ -19,13 +19,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/log.h"
 #include "shell/httpd.h"
 
-#define PUMP_PERIOD_US 500
+/* Delayed bytes are looked for this often. */
+#define PUMP_PERIOD_US 1000
 #define MAX_PAIRS 256
 #define READ_SIZE 65536
 
@@ -60,6 +62,8 @@
     struct loop_timer pump;
     struct sockaddr_in target;
     int listener;
+    int watch; /* epoll set of the listener and all connections. */
+    uint32_t queued;
     int delay_ms;
     int drop;
     int cut;
@@ -86,6 +90,7 @@
         flow->tail = &flow->head;
     }
     free(chunk);
+    relay.queued--;
 }
 
 static void
@@ -110,6 +115,13 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+static void
+watch(int fd)
+{
+    struct epoll_event event = {.events = EPOLLIN};
+    epoll_ctl(relay.watch, EPOLL_CTL_ADD, fd, &event);
+}
+
 static struct pair *
 free_pair(void)
 {
@@ -136,6 +148,8 @@
     }
     set_up(near);
     set_up(far);
+    watch(near);
+    watch(far);
     pair->used = 1;
     pair->silent = 0;
     relay.connections++;
@@ -169,6 +183,7 @@
     chunk->due_us = now_us + (uint64_t)relay.delay_ms * US_PER_MS;
     *flow->tail = chunk;
     flow->tail = &chunk->next;
+    relay.queued++;
     return 0;
 }
 
@@ -207,11 +222,10 @@
 }
 
 static void
-pump(void *context)
+pump(void)
 {
     uint64_t now_us = Loop_Now().us;
     int fd;
-    (void)context;
     while ((fd = accept(relay.listener, NULL, NULL)) >= 0) {
         accept_one(fd);
     }
@@ -222,6 +236,48 @@
     }
 }
 
+static void
+on_timer(void *context)
+{
+    (void)context;
+    if (relay.queued) {
+        pump();
+    }
+}
+
+static int
+on_watch(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+         void *in, size_t size)
+{
+    (void)wsi;
+    (void)user;
+    (void)in;
+    (void)size;
+    if (reason == LWS_CALLBACK_RAW_RX_FILE) {
+        pump();
+    }
+    return 0;
+}
+
+static int
+adopt_watch(void)
+{
+    static const struct lws_protocols protocols[] = {
+        {"watch", on_watch, 0, 0, 0, NULL, 0},
+        {NULL, NULL, 0, 0, 0, NULL, 0},
+    };
+    struct lws_context_creation_info info = {0};
+    lws_sock_file_fd_type fd = {.filefd = relay.watch};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.vhost_name = "watch";
+    info.protocols = protocols;
+    struct lws_vhost *vhost = lws_create_vhost(relay.loop.lws, &info);
+    return vhost && lws_adopt_descriptor_vhost(vhost, LWS_ADOPT_RAW_FILE_DESC,
+                                               fd, "watch", NULL)
+               ? 0
+               : -1;
+}
+
 static void
 set_faults(const struct hs_request *request)
 {
@@ -234,6 +290,7 @@
     for (int i = 0; silence && i < MAX_PAIRS; i++) {
         relay.pairs[i].silent = 1;
     }
+    pump();
     Hs_ReplyJson(&relay.httpd, request->conn, 200, "{}");
 }
 
@@ -294,6 +351,7 @@
     }
     setsockopt(relay.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     set_up(relay.listener);
+    watch(relay.listener);
     if (bind(relay.listener, (struct sockaddr *)&addr, sizeof(addr))) {
         return -1;
     }
@@ -325,13 +383,15 @@
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
+    relay.watch = epoll_create1(EPOLL_CLOEXEC);
     if (listen_on(listen_addr) || Loop_Init(&relay.loop, &err) ||
         Hs_Init(&relay.httpd, &relay.loop, control, NULL, NULL, on_request,
-                NULL, NULL, &relay.counters, &err)) {
+                NULL, NULL, &relay.counters, &err) ||
+        adopt_watch()) {
         LOG_ERROR("relay", "Cannot start: %s.", err.text);
         return 1;
     }
-    Loop_Every(&relay.loop, &relay.pump, PUMP_PERIOD_US, pump, NULL);
+    Loop_Every(&relay.loop, &relay.pump, PUMP_PERIOD_US, on_timer, NULL);
     Loop_Run(&relay.loop);
     return 0;
 }
