Leave the keys of an entry that has just registered to it

Cause: an entry that did not know yet who issued a key took the range over from its living owner; with agents replaced at the same time, tasks not known as started became uncertain. It waits now until it has read up to the key's version and has known every entry for the settling time. A test on the pure core fails without the change.

--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -109,6 +109,9 @@
     HASH_ADD(node_hh, entry->node_index, member.node,
              (unsigned)strlen(peer->member.node), peer);
     peer->met_us = now.us;
+    if (member->role == ROLE_ENTRY) {
+        entry->met_entry_us = now.us;
+    }
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
     Enti_ResolveAgent(entry, now, peer);
--- a/core/src/entry/remote.c
+++ b/core/src/entry/remote.c
@@ -55,6 +55,11 @@
     if (now.us - entry->started_us < SETTLE_US || entry->version == 0) {
         return 0;
     }
+    /* The range may be that of an entry that has only just registered. */
+    if (!issuer && entry->met_entry_us &&
+        now.us - entry->met_entry_us < SETTLE_US) {
+        return 0;
+    }
     return pick_taker(entry, now, number);
 }
 
@@ -115,6 +120,11 @@
     uint64_t before = job->target;
     job->resend_us = now.us + SUBMIT_RESEND_US;
     job->target = Enti_OwnerOf(entry, now, job->key.issuer);
+    if (job->key.rv > entry->version &&
+        !Enti_FindIssuer(entry, job->key.issuer)) {
+        /* Its issuer's registration has not been read here yet. */
+        job->target = 0;
+    }
     if (before != 0 && job->target != before) {
         job->rerouted = 1;
     }
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -502,6 +502,40 @@
     assert_int_equal(agent->return_us, world.now.us);
 }
 
+static void
+submit_unknown(uint64_t rv)
+{
+    struct sub_task task = {.no = 1};
+    struct submission sub = {
+        .key = {.issuer = 999, .rv = rv, .seq = 1, .issued_s = 1000},
+        .service = "finishing",
+        .deadline_ms = 30000,
+        .task_count = 1,
+        .tasks = &task};
+    Ent_OnSubmit(&world.nodes[0].entry, world.now, 0, &sub);
+}
+
+/* Seen in a rolling replacement: the keys of an entry that had only just
+ * registered were taken over by one that did not know it yet. */
+static void
+keys_of_an_entry_just_met_are_not_taken_over(void **state)
+{
+    (void)state;
+    struct entry *entry = &world.nodes[0].entry;
+    struct ent_member member = {.node = "node-new",
+                                .role = ROLE_ENTRY,
+                                .incarnation = 5000,
+                                .registered = ++world.stored_rows};
+    submit_unknown(world.stored_rows);
+    assert_int_equal(world.counters.value[CTR_takeovers], 0);
+    Ent_OnMember(entry, world.now, &member);
+    run_ms(1500);
+    assert_int_equal(world.counters.value[CTR_takeovers], 0);
+    /* It never said that it owns them. */
+    run_ms(3000);
+    assert_int_equal(world.counters.value[CTR_takeovers], 1);
+}
+
 int
 main(void)
 {
@@ -520,6 +554,7 @@
         T(whoever_hears_of_a_newer_version_lapses),
         T(older_version_is_never_applied),
         T(returning_agent_gets_its_slots_back_over_time),
+        T(keys_of_an_entry_just_met_are_not_taken_over),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
