--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -4,6 +4,12 @@
 
 #include "agent_impl.h"
 
+uint32_t
+Agi_Busy(const struct agent *agent)
+{
+    return agent->busy + agent->foreign + agent->held;
+}
+
 void
 Agi_SendTask(struct agent *agent, uint64_t to, enum msg_type type,
              const struct ag_task *task)
@@ -17,14 +23,15 @@
     result->state = task->state;
     result->code = task->code;
     result->run_us = task->run_us;
-    result->busy = agent->busy + agent->foreign;
+    result->busy = Agi_Busy(agent);
     result->output = task->output;
+    result->mine = Agi_NoteTold(agent, to);
     Act_Send(&agent->sink, to, &msg);
 }
 
-static void
-refuse(struct agent *agent, uint64_t to, const struct msg_start *start,
-       enum code code)
+void
+Agi_Refuse(struct agent *agent, uint64_t to, const struct msg_start *start,
+           enum code code)
 {
     struct msg msg = {.type = MSG_RESULT};
     struct msg_result *result = &msg.u.result;
@@ -34,8 +41,9 @@
     result->attempt = start->attempt;
     result->state = TASK_REFUSED;
     result->code = code;
-    result->busy = agent->busy + agent->foreign;
+    result->busy = Agi_Busy(agent);
     Ctr_Code(agent->counters, code);
+    result->mine = Agi_NoteTold(agent, to);
     Act_Send(&agent->sink, to, &msg);
 }
 
@@ -48,8 +56,9 @@
 }
 
 /* A reason to refuse that may pass, CODE_OK for none. */
-static enum code
-check_room(struct agent *agent, struct now now, const struct msg_start *start)
+enum code
+Agi_CheckRoom(struct agent *agent, struct now now,
+              const struct msg_start *start)
 {
     if (agent->registered == 0) {
         return CODE_NOT_ADMITTED;
@@ -66,6 +75,10 @@
     if (agent->announced_us == 0) {
         return CODE_NO_UPSTREAM;
     }
+    enum code code = Agi_CheckSuspect(agent, start);
+    if (code != CODE_OK) {
+        return code;
+    }
     if (start->flags & SUB_REQUEST) {
         uint32_t used = agent->busy + agent->foreign + agent->calls;
         return used < agent->upstream.connections ? CODE_OK : CODE_NO_SLOT;
@@ -91,9 +104,9 @@
     return CODE_OK;
 }
 
-static void
-begin(struct agent *agent, struct now now, struct ag_task *task,
-      const struct msg_start *start)
+void
+Agi_Begin(struct agent *agent, struct now now, uint64_t from,
+          struct ag_task *task, const struct msg_start *start)
 {
     task->job->running++;
     task->job->body_hash = start->body_hash;
@@ -112,7 +125,9 @@
     }
     else {
         agent->busy++;
+        Agi_CountTask(agent, from, 1);
     }
+    task->from = from;
     CTR_INC(agent->counters, tasks_started);
     struct act act = {.type = ACT_RUN};
     act.u.run.task = Tab_Handle(&agent->tasks, task);
@@ -138,20 +153,23 @@
 {
     /* Making room must not forget the job that it is made for. */
     task->job->running++;
-    enum code code = check_room(agent, now, start);
+    enum code code = Agi_CheckRoom(agent, now, start);
     task->job->running--;
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
     }
     if (code == CODE_OK) {
-        begin(agent, now, task, start);
+        Agi_Begin(agent, now, from, task, start);
+        return;
+    }
+    if (code == CODE_NO_SLOT && Agi_Hold(agent, now, from, start, task) == 0) {
         return;
     }
     task->state = TASK_REFUSED;
     task->code = code;
     task->epoch = start->epoch;
     task->attempt = start->attempt;
-    refuse(agent, from, start, code);
+    Agi_Refuse(agent, from, start, code);
 }
 
 /* A task that was started before; only a request marked idempotent is run
@@ -190,7 +208,7 @@
     }
     enum code code = check_key(agent, start, epoch);
     if (code != CODE_OK) {
-        refuse(agent, from, start, code);
+        Agi_Refuse(agent, from, start, code);
         return;
     }
     task = find_or_add(agent, start);
@@ -198,7 +216,7 @@
         CTR_INC(agent->counters, actions_dropped);
     }
     else if (task->state == TASK_REFUSED && is_superseded(task, start)) {
-        refuse(agent, from, start, CODE_OLD_ATTEMPT);
+        Agi_Refuse(agent, from, start, CODE_OLD_ATTEMPT);
     }
     else {
         start_task(agent, now, from, start, task);
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -118,6 +118,9 @@
     HASH_ADD(node_hh, entry->node_index, member.node,
              (unsigned)strlen(peer->member.node), peer);
     peer->met_us = now.us;
+    if (member->role == ROLE_ENTRY) {
+        entry->met_entry_us = now.us;
+    }
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
     Enti_ResolveAgent(entry, now, peer);
@@ -215,13 +218,13 @@
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
     peer->leaving = status->leaving;
+    peer->suspect = status->suspect;
     if (moved || peer->says_leaving != status->leaving) {
         peer->says_leaving = status->leaving;
         Enti_ResolveAgent(entry, now, peer);
     }
-    peer->others = status->busy > peer->outstanding
-                       ? status->busy - peer->outstanding
-                       : 0;
+    peer->others =
+        status->busy > status->mine ? status->busy - status->mine : 0;
     if (service) {
         Enti_Place(entry, now, service);
     }
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -118,6 +118,21 @@
     }
 }
 
+/* Whether an agent that was lost after its report had forgotten the key. */
+static int
+lost_had_forgotten(const struct entry *entry, const struct ent_issuer *issuer,
+                   const struct key *key)
+{
+    const struct ent_fence *fence = issuer->fences;
+    for (; fence; fence = fence->next) {
+        if (is_complete(fence) && fence->forgotten_s >= key->issued_s &&
+            !Enti_FindPeer(entry, fence->agent)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /* What the agents' reports allow for a key. */
 enum collected { COLLECTED_WAIT, COLLECTED_ALL, COLLECTED_EXPIRED };
 
@@ -132,6 +147,9 @@
         return COLLECTED_WAIT;
     }
     fence_agents(entry, now, issuer, key->rv);
+    if (lost_had_forgotten(entry, issuer, key)) {
+        return COLLECTED_EXPIRED;
+    }
     while ((peer = Tab_Next(&entry->peers, &slot))) {
         if (peer->member.role != ROLE_AGENT ||
             peer->member.registered > key->rv) {
@@ -205,6 +223,7 @@
         }
         else {
             agent->outstanding++;
+            job->share->running++;
         }
         return CODE_OK;
     case TASK_FAILED:
@@ -212,6 +231,7 @@
     case TASK_GONE:
         return CODE_ANSWER_GONE;
     case TASK_REFUSED:
+    case TASK_WAITING:
         break;
     }
     return CODE_OK;
@@ -262,6 +282,8 @@
             fault = code;
         }
     }
+    /* Used up: a later takeover collects anew. */
+    Enti_DropHeld(job);
     if (uncertain && job->waiting > 0) {
         job->maybe_ran = 1;
         if (!may_repeat(job)) {
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -305,7 +305,7 @@
     (void)state;
     memset(world.store_cut, 1, sizeof(world.store_cut));
     world.nodes[2].is_paused = 1;
-    run_ms(3600 * 1000);
+    run_ms(3600ull * 1000);
     assert_true(is_fresh(0));
     assert_true(is_fresh(1));
     assert_true(is_fresh(3));
@@ -466,19 +466,26 @@
     assert_int_equal(agent->is_out, 1);
 }
 
+static struct ent_peer *
+find_agent(int index)
+{
+    uint32_t slot = 0;
+    struct ent_peer *agent = NULL;
+    do {
+        agent = Tab_Next(&world.nodes[0].entry.peers, &slot);
+        if (!agent) {
+            fail();
+            abort();
+        }
+    } while (agent->member.incarnation != world.nodes[index].incarnation);
+    return agent;
+}
+
 static void
 returning_agent_gets_its_slots_back_over_time(void **state)
 {
     (void)state;
-    struct node *node = &world.nodes[0];
-    struct ent_peer *agent = NULL;
-    uint32_t slot = 0;
-    while ((agent = Tab_Next(&node->entry.peers, &slot))) {
-        if (agent->member.incarnation == world.nodes[3].incarnation) {
-            break;
-        }
-    }
-    assert_non_null(agent);
+    struct ent_peer *agent = find_agent(3);
     struct cfg_exception *out = &world.stored.exceptions[0];
     world.stored.exception_count = 1;
     *out = (struct cfg_exception){.id = 1,
@@ -495,6 +502,40 @@
     assert_int_equal(agent->return_us, world.now.us);
 }
 
+static void
+submit_unknown(uint64_t rv)
+{
+    struct sub_task task = {.no = 1};
+    struct submission sub = {
+        .key = {.issuer = 999, .rv = rv, .seq = 1, .issued_s = 1000},
+        .service = "finishing",
+        .deadline_ms = 30000,
+        .task_count = 1,
+        .tasks = &task};
+    Ent_OnSubmit(&world.nodes[0].entry, world.now, 0, &sub);
+}
+
+/* Seen in a rolling replacement: the keys of an entry that had only just
+ * registered were taken over by one that did not know it yet. */
+static void
+keys_of_an_entry_just_met_are_not_taken_over(void **state)
+{
+    (void)state;
+    struct entry *entry = &world.nodes[0].entry;
+    struct ent_member member = {.node = "node-new",
+                                .role = ROLE_ENTRY,
+                                .incarnation = 5000,
+                                .registered = ++world.stored_rows};
+    submit_unknown(world.stored_rows);
+    assert_int_equal(world.counters.value[CTR_takeovers], 0);
+    Ent_OnMember(entry, world.now, &member);
+    run_ms(1500);
+    assert_int_equal(world.counters.value[CTR_takeovers], 0);
+    /* It never said that it owns them. */
+    run_ms(3000);
+    assert_int_equal(world.counters.value[CTR_takeovers], 1);
+}
+
 int
 main(void)
 {
@@ -513,6 +554,7 @@
         T(whoever_hears_of_a_newer_version_lapses),
         T(older_version_is_never_applied),
         T(returning_agent_gets_its_slots_back_over_time),
+        T(keys_of_an_entry_just_met_are_not_taken_over),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
