--- a/tests/test_findings.c
+++ b/tests/test_findings.c
@@ -1,10 +1,9 @@
 /* Faults that the models or a reading against them found in the code. */
-#include "net.h"
+#include "three.h"
 
 #define CAPACITY 64
 #define US(ms) ((uint64_t)(ms)*US_PER_MS)
 
-static struct net net;
 static struct net_node *node;
 static struct msg_result result;
 
@@ -133,11 +132,45 @@
     Ent_Finish(&entry);
 }
 
+/* It may have run the key and forgotten it; that it reported and was then
+ * lost does not make the key one that was never started. */
+static void
+watermark_of_a_lost_agent_still_counts(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct key other = Net_Key(entries[0]);
+    while (other.issuer != key.issuer) {
+        other = Net_Key(entries[0]);
+    }
+    for (int i = 0; i < 3; i++) {
+        agents[i]->agent.forgotten_s = i == 0 ? key.issued_s : 0;
+    }
+    Net_Kill(entries[0]);
+    Net_Submit(entries[1], CONN(1), &other, 1, 7, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_KEY_EXPIRED);
+    struct net_node *taker = owner_of(&key);
+    assert_non_null(taker);
+    Net_Kill(agents[0]);
+    for (int i = 1; i < 3; i++) {
+        Ent_OnMemberGone(&entries[i]->entry, net.now, agents[0]->head.node,
+                         net.version + 1);
+        Ent_OnVersion(&entries[i]->entry, net.now, net.version + 1);
+    }
+    net.version++;
+    Net_Submit(taker, CONN(2), &key, 1, 7, 0, 20000);
+    Net_Run(&net, 6000);
+    assert_int_equal(Net_Starts(&net, &key), 0);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_KEY_EXPIRED);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(making_room_keeps_the_job_it_is_made_for),
+        PATH_TEST(watermark_of_a_lost_agent_still_counts),
         cmocka_unit_test(loss_counts_from_when_every_entry_knows_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
