--- a/model/acceptance.pml
+++ b/model/acceptance.pml
@@ -35,6 +35,9 @@
 #ifndef WRITES
 #define WRITES 0		/* 1: entry 0 writes, and answers are lost */
 #endif
+#ifndef AGENTS
+#define AGENTS 1		/* 0: the entry alone is looked at */
+#endif
 #define FIRST	7		/* entries 0, 1, 2 are registered at first */
 #define AGENT	128
 #define NONE	255
@@ -273,7 +276,7 @@
 active proctype world() {
 	byte i, j, v;
 	atomic {
-		view[0] = FIRST | AGENT;
+		view[0] = FIRST | (AGENTS -> AGENT : 0);
 		fresh = F;
 		afresh = F;
 		answer_age = F;
@@ -375,7 +378,7 @@
 			told = conf[ver[1]]; told_age = EVIDENCE
 		:: else
 		fi }
-	:: atomic { select(v : 0 .. COMMITS);
+	:: atomic { AGENTS -> select(v : 0 .. COMMITS);
 		if
 		:: v <= store && NEWER(conf[v], aver) ->
 			assert(conf[v] >= aver);
