--- a/scenarios/verbs.lua
+++ b/scenarios/verbs.lua
@@ -172,7 +172,7 @@
 local function call(job, entry, verb)
   local out = new_file("answer")
   job.calls[#job.calls + 1] = {out = out, entry = entry,
-    pid = sys.spawn(out, BUILD .. "/cli/jacinthpick", "--entry", addr(100 + entry), verb, job.key, job.file)}
+    pid = sys.spawn(out, BUILD .. "/cli/jacinthpick", "--entry", addr(100 + entry), "--", verb, job.key, job.file)}
 end
 
 local function take_key(entry)
@@ -223,7 +223,7 @@
 
 function cancel(job, entry)
   note("cancel %s, entry %d", job.key:sub(-6), entry)
-  cli(entry, "cancel", job.key)
+  cli(entry, "--", "cancel", job.key) -- a key may begin with "-"
 end
 
 -- Take the answers that have come. A final one sets the job's state.
