--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -294,6 +294,7 @@
     struct act_sink sink;
     struct counters *counters;
     uint64_t started_us;
+    uint64_t met_entry_us; /**< When another entry last became known. */
     uint64_t version;   /**< Registry version applied, 0 before the first. */
     uint64_t last_loss; /**< Version of the latest loss of an agent. */
     uint32_t forgotten_s;
@@ -406,4 +407,12 @@
  * have been handed to another entry or there is none. */
 int Ent_IsIdle(const struct entry *entry);
 
+/** Write one line on this entry and one on each service. Returns the bytes
+ * written; what does not fit is left out. */
+size_t Ent_PrintStatus(const struct entry *entry, struct now now, char *out,
+                       size_t size);
+
+/** Write the response times by kind, as text for /metrics. */
+size_t Ent_PrintKinds(const struct entry *entry, char *out, size_t size);
+
 #endif
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "control.h"
 #include "daemon.h"
+#include "pages.h"
 #include "shell/api.h"
 #include "shell/httpd.h"
 #include "shell/link.h"
@@ -204,19 +205,6 @@
     Ent_OnAsk(&daemon->core, Loop_Now(), request->conn, &key, what);
 }
 
-static void
-reply_counters(struct entry_daemon *daemon, conn_id conn)
-{
-    static char text[32768];
-    int size = Ctr_Print(&daemon->counters, text, sizeof(text));
-    struct hs_reply reply = {
-        .status = 200,
-        .type = "text/plain",
-        .body = {text, (uint32_t)size},
-    };
-    Hs_Reply(&daemon->httpd, conn, &reply);
-}
-
 static void
 reply_health(struct entry_daemon *daemon, conn_id conn)
 {
@@ -281,7 +269,11 @@
         Admin_OnRequest(&daemon->control, request);
     }
     else if (method == HS_GET && strcmp(path, "/metrics") == 0) {
-        reply_counters(daemon, request->conn);
+        Pages_Metrics(&daemon->httpd, request->conn, &daemon->counters,
+                      &daemon->core);
+    }
+    else if (method == HS_GET && strcmp(path, "/v1/status") == 0) {
+        Pages_Status(&daemon->httpd, request->conn, &daemon->core);
     }
     else if (method == HS_GET && strcmp(path, "/v1/health") == 0) {
         reply_health(daemon, request->conn);
