Give both roles one course of a graceful stop

Cause: the entry and the agent each had the same 25 lines that decide when a stop begins and ends, and the same head of their frames.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -34,8 +34,7 @@
     struct loop_timer tick;
     struct loop_timer poll;
     uint64_t next_verify_us;
-    uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
-    uint64_t idle_us; /* Since when there is nothing left to do. */
+    struct stop stop;
 };
 
 static void
@@ -213,29 +212,19 @@
 static void
 check_stop(struct agent_daemon *daemon, struct now now)
 {
-    if (Stop_Count() > 1) {
-        Loop_Stop(&daemon->loop);
-    }
-    int stop = Stop_Count() == 1 || daemon->registry.lost;
-    if (stop && !daemon->stop_us) {
+    switch (Stop_Step(&daemon->stop, now, daemon->registry.lost,
+                      Ag_IsIdle(&daemon->core),
+                      daemon->settings->stop_limit_s)) {
+    case STOP_NOTHING:
+        break;
+    case STOP_BEGIN:
         LOG_INFO("agent", "Stopping: no new tasks, %u to finish.",
                  daemon->core.busy + daemon->core.calls);
-        daemon->stop_us =
-            now.us + (uint64_t)daemon->settings->stop_limit_s * US_PER_S;
         Ag_Drain(&daemon->core, now);
-    }
-    if (!daemon->stop_us) {
-        return;
-    }
-    if (!Ag_IsIdle(&daemon->core)) {
-        daemon->idle_us = 0;
-    }
-    else if (!daemon->idle_us) {
-        daemon->idle_us = now.us;
-    }
-    int flushed = daemon->idle_us && now.us - daemon->idle_us >= STOP_FLUSH_US;
-    if (flushed || now.us >= daemon->stop_us) {
+        break;
+    case STOP_END:
         Loop_Stop(&daemon->loop);
+        break;
     }
 }
 
@@ -257,18 +246,6 @@
     Link_Flush(&daemon->links);
 }
 
-static void
-fill_head(struct frame_head *head, const struct settings *settings,
-          uint64_t incarnation)
-{
-    memset(head, 0, sizeof(*head));
-    head->from = incarnation;
-    head->role = ROLE_AGENT;
-    memcpy(head->node, settings->node, sizeof(head->node));
-    memcpy(head->addr, settings->public_internal, sizeof(head->addr));
-    memcpy(head->dc, settings->data_centre, sizeof(head->dc));
-}
-
 static int
 start(struct agent_daemon *daemon, struct err *err)
 {
@@ -287,7 +264,7 @@
     daemon->config.core = &daemon->core;
     daemon->config.counters = &daemon->counters;
     Key_Derive(&daemon->secret, settings->cluster_key);
-    fill_head(&head, settings, incarnation);
+    Head_Fill(&head, settings, ROLE_AGENT, incarnation);
     if (Ag_Init(&daemon->core, &core, sink, &daemon->counters)) {
         return Err_Set(err, CODE_NO_MEMORY, "no memory for the tables");
     }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -4,7 +4,9 @@
 #ifndef DAEMON_H
 #define DAEMON_H
 
+#include "core/clock.h"
 #include "shell/settings.h"
+#include "wire/msg.h"
 
 /** Time between ticks of a role's state machine. */
 #define TICK_US 20000ull
@@ -20,11 +22,30 @@
 /** Run an agent until it is stopped. Returns the exit code. */
 int Agent_Main(const struct settings *settings);
 
-/** Let SIGTERM and SIGINT end the loop gracefully: `drain` is called once,
- * from the loop; a second signal ends the process at once. */
+/** Fill what frames of this process say of their sender. */
+void Head_Fill(struct frame_head *head, const struct settings *settings,
+               enum role role, uint64_t incarnation);
+
+/** Count SIGTERM and SIGINT from now on. */
 void Stop_Init(void);
 
-/** Number of stop signals so far. */
-int Stop_Count(void);
+/** Course of a graceful stop; begins as zeros. */
+struct stop {
+    uint64_t end_us;  /**< When it ends at the latest, 0 while not begun. */
+    uint64_t idle_us; /**< Since when the process is idle, 0 for not. */
+};
+
+/** What a role has to do now. */
+enum stop_step {
+    STOP_NOTHING,
+    STOP_BEGIN, /**< Drain: take no new work. */
+    STOP_END,   /**< Leave the loop. */
+};
+
+/** Take the next step. A stop begins with the first signal, or when it is
+ * `wanted`; it ends when the process has been idle for STOP_FLUSH_US, after
+ * `limit_s`, or with the second signal. */
+enum stop_step Stop_Step(struct stop *stop, struct now now, int wanted,
+                         int is_idle, int64_t limit_s);
 
 #endif
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -28,8 +28,7 @@
     int polling;
     uint64_t polled_us; /* When the read under way was sent. */
     struct control control;
-    uint64_t stop_us; /* When a graceful stop ends, 0 while running. */
-    uint64_t idle_us; /* Since when there is nothing left to do. */
+    struct stop stop;
 };
 
 static void
@@ -208,7 +207,7 @@
 static void
 reply_health(struct entry_daemon *daemon, conn_id conn)
 {
-    if (daemon->stop_us) {
+    if (daemon->stop.end_us) {
         reply_error(daemon, conn, CODE_DRAINING, NULL);
     }
     else if (daemon->core.version == 0) {
@@ -319,29 +318,19 @@
 static void
 check_stop(struct entry_daemon *daemon, struct now now)
 {
-    if (Stop_Count() > 1) {
-        Loop_Stop(&daemon->loop);
-    }
-    int stop = Stop_Count() == 1 || daemon->core.conf.superseded;
-    if (stop && !daemon->stop_us) {
+    switch (Stop_Step(&daemon->stop, now, daemon->core.conf.superseded,
+                      Ent_IsIdle(&daemon->core),
+                      daemon->settings->stop_limit_s)) {
+    case STOP_NOTHING:
+        break;
+    case STOP_BEGIN:
         LOG_INFO("entry", "Stopping: no new keys, %u jobs to finish.",
                  daemon->core.open_jobs);
-        daemon->stop_us =
-            now.us + (uint64_t)daemon->settings->stop_limit_s * US_PER_S;
         Ent_Drain(&daemon->core, now);
-    }
-    if (!daemon->stop_us) {
-        return;
-    }
-    if (!Ent_IsIdle(&daemon->core)) {
-        daemon->idle_us = 0;
-    }
-    else if (!daemon->idle_us) {
-        daemon->idle_us = now.us;
-    }
-    int flushed = daemon->idle_us && now.us - daemon->idle_us >= STOP_FLUSH_US;
-    if (flushed || now.us >= daemon->stop_us) {
+        break;
+    case STOP_END:
         Loop_Stop(&daemon->loop);
+        break;
     }
 }
 
@@ -362,18 +351,6 @@
     Link_Flush(&daemon->links);
 }
 
-static void
-fill_head(struct frame_head *head, const struct settings *settings,
-          uint64_t incarnation)
-{
-    memset(head, 0, sizeof(*head));
-    head->from = incarnation;
-    head->role = ROLE_ENTRY;
-    memcpy(head->node, settings->node, sizeof(head->node));
-    memcpy(head->addr, settings->public_internal, sizeof(head->addr));
-    memcpy(head->dc, settings->data_centre, sizeof(head->dc));
-}
-
 static int
 start_core(struct entry_daemon *daemon, uint64_t incarnation, struct err *err)
 {
@@ -424,7 +401,7 @@
     uint64_t incarnation;
     randombytes_buf(&incarnation, sizeof(incarnation));
     Key_Derive(&daemon->secret, settings->cluster_key);
-    fill_head(&head, settings, incarnation);
+    Head_Fill(&head, settings, ROLE_ENTRY, incarnation);
     if (start_core(daemon, incarnation, err) ||
         Loop_Init(&daemon->loop, err) ||
         Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,6 +1,5 @@
 /* jacinthpickd: one daemon, an entry or an agent by its settings. */
 #include <getopt.h>
-#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,30 +10,6 @@
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
 
-static volatile sig_atomic_t stop_signals;
-
-static void
-on_signal(int number)
-{
-    (void)number;
-    stop_signals++;
-}
-
-void
-Stop_Init(void)
-{
-    struct sigaction action = {.sa_handler = on_signal};
-    sigaction(SIGTERM, &action, NULL);
-    sigaction(SIGINT, &action, NULL);
-    signal(SIGPIPE, SIG_IGN);
-}
-
-int
-Stop_Count(void)
-{
-    return stop_signals;
-}
-
 static const char usage[] =
     "Usage: jacinthpickd [OPTION]... FILE\n"
     "Run an entry or an agent, as the settings in FILE say.\n"
--- /dev/null
+++ b/daemon/stop.c
@@ -0,0 +1,47 @@
+/* The course of a graceful stop. */
+#include <signal.h>
+#include <stddef.h>
+
+#include "daemon.h"
+
+static volatile sig_atomic_t stop_signals;
+
+static void
+on_signal(int number)
+{
+    (void)number;
+    stop_signals++;
+}
+
+void
+Stop_Init(void)
+{
+    struct sigaction action = {.sa_handler = on_signal};
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+enum stop_step
+Stop_Step(struct stop *stop, struct now now, int wanted, int is_idle,
+          int64_t limit_s)
+{
+    if (stop_signals > 1) {
+        return STOP_END;
+    }
+    if (!stop->end_us) {
+        if (!wanted && stop_signals == 0) {
+            return STOP_NOTHING;
+        }
+        stop->end_us = now.us + (uint64_t)limit_s * US_PER_S;
+        return STOP_BEGIN;
+    }
+    if (!is_idle) {
+        stop->idle_us = 0;
+    }
+    else if (!stop->idle_us) {
+        stop->idle_us = now.us;
+    }
+    int flushed = stop->idle_us && now.us - stop->idle_us >= STOP_FLUSH_US;
+    return flushed || now.us >= stop->end_us ? STOP_END : STOP_NOTHING;
+}
