Let an entry that has just joined hear the agents before it refuses

Such a job now waits; once every registered agent was heard, or after 2 s, the refusal is given as before (CANNOT_RUN likewise).

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -296,6 +296,7 @@
     struct act_sink sink;
     struct counters *counters;
     uint64_t started_us;
+    uint64_t joined_us;    /**< When the registry was first known. */
     uint64_t met_entry_us; /**< When another entry last became known. */
     uint64_t version;   /**< Registry version applied, 0 before the first. */
     uint64_t last_loss; /**< Version of the latest loss of an agent. */
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -125,15 +125,37 @@
     return CODE_OK;
 }
 
+/* An entry that has just joined and has not heard all agents does not know
+ * what they offer. */
+static int
+is_joining(const struct entry *entry, struct now now)
+{
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    if (now.us - entry->joined_us >= SETTLE_US) {
+        return 0;
+    }
+    while ((peer = Tab_Next(&entry->peers, &slot))) {
+        if (peer->member.role == ROLE_AGENT && peer->heard_us == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 enum code
 Enti_Admit(struct entry *entry, struct now now, struct ent_job *job)
 {
-    const struct ent_service *service = job->service;
+    int joining = is_joining(entry, now);
     const struct policy *policy;
+    if (!job->service && joining) {
+        job->service = Enti_Service(entry, job->service_name, 1);
+    }
+    const struct ent_service *service = job->service;
     if (!service) {
         return CODE_UNKNOWN_SERVICE;
     }
-    if (!fits_any(service, job)) {
+    if (!joining && !fits_any(service, job)) {
         return CODE_CANNOT_RUN;
     }
     if (entry->settings.mode == ENT_BASELINE) {
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -149,6 +149,7 @@
     }
     int first = entry->version == 0;
     entry->version = version;
+    entry->joined_us = first ? now.us : entry->joined_us;
     for (uint32_t i = 0; first && i < ENT_OWN_ISSUERS; i++) {
         Enti_DrawIssuer(entry, now, i);
     }
