Hold a team to its own quota; tell the two status commands apart

Causes: the quota that operators give a team was stored and shown but only the setting team_slots was looked at when tasks start; now the lower of the two holds.

--- a/cli/admin.c
+++ b/cli/admin.c
@@ -247,7 +247,7 @@
     if (is(command, "explain")) {
         return run_explain(client, count, args);
     }
-    if (is(command, "status")) {
+    if (is(command, "members")) {
         return get(client, "/v1/admin/status");
     }
     if (is(command, "history")) {
--- a/cli/main.c
+++ b/cli/main.c
@@ -28,7 +28,7 @@
     "  health                is the entry serving?\n"
     "  status                how the entry and its services stand\n"
     "  counters              print the process's counters\n"
-    "  status                members and how fresh the entry is\n"
+    "  members               members, and how fresh the entry is\n"
     "  defaults [show]       show all settings with their ranges\n"
     "  defaults set SETTING VALUE | defaults reset SETTING\n"
     "  exceptions [list]     show defaults, exceptions and teams\n"
--- a/core/include/core/policy.h
+++ b/core/include/core/policy.h
@@ -24,7 +24,7 @@
     X(TEAM_WEIGHT, "team_weight", "parts", 1, 1000, 10,                       \
       "share of a team against the other teams of its class")                 \
     X(TEAM_SLOTS, "team_slots", "slots", 1, POL_NO_QUOTA, POL_NO_QUOTA,       \
-      "task slots that a team may hold in the fleet at once")                 \
+      "task slots of a service that a team may hold at once")                 \
     X(TEAM_QUEUE, "team_queue", "tasks", 1, 1000000, 20000,                   \
       "tasks of one team that may wait at one entry")                         \
     X(HOLD_MS, "hold_ms", "ms", 0, 10000, 500,                                \
--- a/core/src/entry/usage.c
+++ b/core/src/entry/usage.c
@@ -5,6 +5,7 @@
  * that part of the rest again for each report that is lost. */
 #include <string.h>
 
+#include "core/config.h"
 #include "entry_impl.h"
 
 /* A report older than this no longer counts. */
@@ -12,12 +13,20 @@
 /* Least time between two growths: a heartbeat of each entry and its way. */
 #define GROW_US (BEAT_INTERVAL_US + 100 * US_PER_MS)
 
+/* The lower of the team's own quota and the setting in force for it. */
 static uint32_t
 quota_of(const struct entry *entry, const struct ent_share *share)
 {
     const struct policy *policy =
         Enti_Policy(entry, share->id.service, share->id.name);
-    return (uint32_t)policy->value[POL_TEAM_SLOTS];
+    int64_t slots = policy->value[POL_TEAM_SLOTS];
+    const struct config *config = entry->conf.config;
+    const struct cfg_team *team =
+        config ? Cfg_FindTeam(config, share->id.name) : NULL;
+    if (team && team->quota > 0 && team->quota < slots) {
+        slots = team->quota;
+    }
+    return (uint32_t)slots;
 }
 
 static uint32_t
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -349,6 +349,26 @@
     assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 6);
 }
 
+static void
+a_teams_own_quota_holds(void **state)
+{
+    static struct config config;
+    (void)state;
+    Cfg_Init(&config);
+    config.team_count = 1;
+    config.teams[0].quota = 5;
+    memcpy(config.teams[0].name, "team", 5);
+    entry->entry.conf.config = &config;
+    agents[0]->run_ms = 10000;
+    agents[1]->run_ms = 10000;
+    submit_job(CONN(1), 14, PRIO_NORMAL, "team");
+    Net_Run(&net, 3000);
+    assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 5);
+    submit_job(CONN(2), 3, PRIO_NORMAL, "other");
+    Net_Run(&net, 1000);
+    assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 8);
+}
+
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int
@@ -371,6 +391,7 @@
         T(operators_can_read_how_it_stands),
         T(a_quota_holds_over_all_entries),
         T(a_quota_is_used_whole_by_one_entry),
+        T(a_teams_own_quota_holds),
         T(a_bad_kind_does_not_empty_the_fleet),
     };
     return cmocka_run_group_tests(list, NULL, NULL);
