Keep refusals when an owner steps down, as unknown

An owner that stepped down dropped the jobs that it had refused. When a late copy of such a submission came from a forwarder, and it had taken the range over again, it ran the job although all callers had been told "not run".

Now the job stays, answered as OUTCOME_UNKNOWN: neither repeated, since the new owner may run it, nor forgotten.

--- a/core/src/entry/issuer.c
+++ b/core/src/entry/issuer.c
@@ -152,9 +152,12 @@
             job->resend_us = now.us;
             break;
         case ENT_JOB_ANSWERED:
-            /* The new owner may run what was refused here. */
+            /* The new owner may run what was refused here, so the refusal is
+             * not repeated. Forgotten, it could be run here by a late copy
+             * of the submission, after another takeover. */
             if (Code_Run(job->code) == CODE_NOT_RUN) {
-                Enti_DropJob(entry, job);
+                job->code = CODE_OUTCOME_UNKNOWN;
+                job->retry_after_ms = 0;
             }
             break;
         case ENT_JOB_REMOTE:
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -412,6 +412,27 @@
     assert_int_equal(Net_Repeats(&net), 0);
 }
 
+/* Another entry may run what was refused; this one must not run it when a
+ * late copy of the submission comes. */
+static void
+a_refusal_is_neither_repeated_nor_forgotten_after_stepping_down(void **state)
+{
+    (void)state;
+    struct key key = Net_Key(entries[0]);
+    struct msg msg = {.type = MSG_ISSUERS};
+    Ent_OnAsk(&entries[0]->entry, net.now, CONN(1), &key, ASK_CANCEL);
+    assert_int_equal(Net_Answer(&net, CONN(1)), CODE_CANCELLED);
+    msg.u.issuers.count = 1;
+    msg.u.issuers.items[0].issuer = key.issuer;
+    msg.u.issuers.items[0].epoch.n = 2;
+    msg.u.issuers.items[0].epoch.owner = entries[1]->head.from;
+    Ent_OnMessage(&entries[0]->entry, net.now, &entries[1]->head, &msg);
+    Net_Submit(entries[0], CONN(2), &key, 4, 7, 0, 20000);
+    Net_Run(&net, 8000);
+    assert_int_equal(Net_Answer(&net, CONN(2)), CODE_OUTCOME_UNKNOWN);
+    assert_int_equal(Net_Starts(&net, &key), 0);
+}
+
 int
 main(void)
 {
@@ -433,6 +454,8 @@
         PATH_TEST(the_newest_witness_is_waited_for),
         PATH_TEST(the_end_of_a_passed_on_job_keeps_what_agents_reported),
         PATH_TEST(the_deadline_of_a_passed_on_job_keeps_what_agents_reported),
+        PATH_TEST(
+            a_refusal_is_neither_repeated_nor_forgotten_after_stepping_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
