--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -41,6 +41,7 @@
     X(DRAINING, 1106, 503, CODE_NOT_RUN, "process is stopping")               \
     X(NOT_FRESH, 1107, 503, CODE_NOT_RUN, "configuration not known fresh")    \
     X(NO_MEMORY, 1108, 503, CODE_NOT_RUN, "table full")                       \
+    X(NOT_SERVED, 1109, 503, CODE_NOT_RUN, "kind of job not served here")     \
     X(OLD_EPOCH, 1201, 503, CODE_NOT_RUN, "epoch superseded")                 \
     X(OLD_ATTEMPT, 1202, 503, CODE_NOT_RUN, "attempt superseded")             \
     X(WRONG_INCARNATION, 1203, 503, CODE_NOT_RUN,                             \
@@ -52,10 +53,14 @@
       "key older than the agent's memory")                                    \
     X(OUT_OF_SERVICE, 1208, 503, CODE_NOT_RUN, "data centre or upstream out") \
     X(UNHEALTHY, 1209, 503, CODE_NOT_RUN, "worker fails what it starts")      \
+    X(STALE_START, 1210, 503, CODE_NOT_RUN, "start was long on its way")      \
+    X(NO_ROOM, 1211, 503, CODE_NOT_RUN, "resources of the upstream taken")    \
+    X(NO_ROUTE, 1301, 404, CODE_NOT_RUN, "no such route")                     \
     X(TASK_FAILED, 2001, 502, CODE_RAN, "a task failed")                      \
     X(JOB_DEADLINE, 2002, 504, CODE_PARTLY, "deadline passed while running")  \
     X(JOB_CANCELLED, 2003, 409, CODE_PARTLY, "cancelled while running")       \
     X(LEASE_LAPSED, 2004, 502, CODE_PARTLY, "task outlived its lease")        \
+    X(STALLED, 2005, 502, CODE_PARTLY, "a task made no progress")             \
     X(OUTCOME_UNKNOWN, 3001, 502, CODE_UNKNOWN, "outcome unknown")            \
     X(KEY_EXPIRED, 3002, 410, CODE_UNKNOWN,                                   \
       "idempotency key expired; an earlier outcome is no longer known")       \
@@ -65,6 +70,7 @@
       "owner of the key not reachable; submit again with the same key")       \
     X(TRY_AGAIN, 3005, 503, CODE_UNKNOWN,                                     \
       "not taken in here; submit again with the same key")                    \
+    X(RUN_LOST, 3006, 502, CODE_UNKNOWN, "a run ended without an outcome")    \
     X(CONFLICT, 4001, 409, CODE_NOT_RUN, "another change came first")         \
     X(STORE_DOWN, 4002, 503, CODE_NOT_RUN, "table service not reachable")     \
     X(NOT_ACCEPTED, 4003, 504, CODE_UNKNOWN, "change not accepted in time")   \
--- a/base/include/base/log.h
+++ b/base/include/base/log.h
@@ -1,8 +1,12 @@
 /** @file
- * Logger: one short sentence a line, with a fixed prefix for each part. */
+ * Logger: one short sentence a line, with a fixed prefix for each part, then
+ * fields as key=value. Lines beyond a bounded rate, and those that standard
+ * output does not take at once, are dropped and counted. */
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
 
+#include <stdint.h>
+
 /** Severity, most severe first. */
 enum log_level {
     LOG_LEVEL_ERROR,
@@ -17,7 +21,10 @@
 /** Parse "error", "warn", "info" or "debug". Returns -1 on another word. */
 int Log_ParseLevel(const char *word, enum log_level *level);
 
-/** Write one line to standard error: time, level, part, sentence. */
+/** Lines dropped so far. */
+uint64_t Log_Dropped(void);
+
+/** Write one line to standard output: time, level, part, sentence. */
 void Log_Write(enum log_level level, const char *part, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
--- a/base/src/log.c
+++ b/base/src/log.c
@@ -1,14 +1,25 @@
 #include "base/log.h"
 
+#include <poll.h>
 #include <stdarg.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-#define LINE_SIZE 512
+#define LINE_SIZE 640
+/* Lines a second that are written on average, and at once after a pause.
+ * Errors and warnings have half of the second to themselves. */
+#define LINES_PER_S 300
+#define LINES_BURST 600
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
 static enum log_level max_level = LOG_LEVEL_INFO;
+static double tokens = LINES_BURST;
+static struct timespec filled;
+static uint64_t dropped;
+static uint64_t unreported;
 
 void
 Log_SetLevel(enum log_level level)
@@ -28,23 +39,92 @@
     return -1;
 }
 
+uint64_t
+Log_Dropped(void)
+{
+    return dropped;
+}
+
+static int
+take_token(enum log_level level)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    double seconds = (double)(now.tv_sec - filled.tv_sec) +
+                     (double)(now.tv_nsec - filled.tv_nsec) / 1e9;
+    double least = level <= LOG_LEVEL_WARN ? 0 : LINES_BURST / 2.0;
+    filled = now;
+    tokens += seconds * LINES_PER_S;
+    tokens = tokens > LINES_BURST ? LINES_BURST : tokens;
+    if (tokens - 1 < least) {
+        return -1;
+    }
+    tokens -= 1;
+    return 0;
+}
+
+/* A reader that is slow costs lines, never time. */
+static int
+write_line(const char *line, size_t size)
+{
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT)) {
+        return -1;
+    }
+    return write(STDOUT_FILENO, line, size) == (ssize_t)size ? 0 : -1;
+}
+
+static size_t
+write_head(char *line, size_t room, enum log_level level, const char *part)
+{
+    struct timespec now;
+    struct tm utc;
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &utc);
+    size_t size = strftime(line, room, "%Y-%m-%dT%H:%M:%S", &utc);
+    return size + (size_t)snprintf(line + size, room - size,
+                                   ".%03ldZ %-5s %s: ", now.tv_nsec / 1000000,
+                                   level_names[level], part);
+}
+
+static void
+report_dropped(void)
+{
+    char line[LINE_SIZE];
+    if (unreported == 0) {
+        return;
+    }
+    size_t size = write_head(line, sizeof(line), LOG_LEVEL_WARN, "log");
+    size += (size_t)snprintf(line + size, sizeof(line) - size,
+                             "Lines were dropped. count=%llu\n",
+                             (unsigned long long)unreported);
+    if (write_line(line, size) == 0) {
+        unreported = 0;
+    }
+}
+
 void
 Log_Write(enum log_level level, const char *part, const char *format, ...)
 {
+    char line[LINE_SIZE];
     if (level > max_level) {
         return;
     }
-    char line[LINE_SIZE];
+    if (take_token(level)) {
+        dropped++;
+        unreported++;
+        return;
+    }
+    report_dropped();
+    size_t size = write_head(line, sizeof(line), level, part);
     va_list args;
     va_start(args, format);
-    vsnprintf(line, sizeof(line), format, args);
+    vsnprintf(line + size, sizeof(line) - size - 1, format, args);
     va_end(args);
-    struct timespec now;
-    clock_gettime(CLOCK_REALTIME, &now);
-    struct tm utc;
-    gmtime_r(&now.tv_sec, &utc);
-    char stamp[32];
-    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-    fprintf(stderr, "%s.%03ldZ %-5s %s: %s\n", stamp, now.tv_nsec / 1000000,
-            level_names[level], part, line);
+    size = strlen(line);
+    line[size++] = '\n';
+    if (write_line(line, size)) {
+        dropped++;
+        unreported++;
+    }
 }
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -21,6 +21,8 @@
 /** An entry that sent a start of late is told when the slots taken differ
  * by this many from what it knows, or all are taken. */
 #define AG_NEWS_SLOTS 2
+/** The same where resources count: a change by this part of the capacity. */
+#define AG_NEWS_PARTS 6
 /** Such an entry sent a start within this time. */
 #define AG_NEWS_US (1 * US_PER_S)
 /** Bytes of outputs kept for owners that may still ask. */
@@ -41,6 +43,7 @@
     uint32_t key_lifetime_s;  /**< Keys older than this are forgotten. */
     uint32_t issuer_capacity; /**< 0 for AG_MAX_ISSUERS. */
     uint8_t check_fresh;      /**< Start nothing unless fresh. */
+    struct timing timing;     /**< All 0 for Timing_Init(). */
 };
 
 /** What an upstream says of itself. */
@@ -50,7 +53,8 @@
     uint32_t connections;
     uint32_t memory_mb;
     uint32_t cores;
-    uint32_t running; /**< Tasks that it is running now. */
+    uint32_t running;          /**< Tasks that it is running now. */
+    struct resources capacity; /**< All 0 where only slots count. */
     uint8_t leaving;
 };
 
@@ -73,6 +77,7 @@
     enum code code;
     uint32_t run_us;
     unsigned flags;
+    struct resources need;
     uint64_t lease_end_us;
     uint64_t stop_us; /**< When to order the stop again, 0 for no stop. */
     uint8_t lapsed;   /**< Stopped because its lease ended. */
@@ -129,6 +134,7 @@
     struct tab_row row;
     uint64_t incarnation;
     char addr[WIRE_ADDR_SIZE];
+    uint64_t met_us; /**< When it was first heard. */
     uint64_t heard_us;
     uint64_t link_us;  /**< When the connection was last made. */
     uint64_t echo_us;  /**< Entry's `sent_us` to echo. */
@@ -138,6 +144,8 @@
     uint64_t start_us; /**< When it last sent a start. */
     uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
     uint32_t told;     /**< Slots taken, as it was last told. */
+    struct resources used; /**< Taken by its tasks. */
+    uint32_t told_cpu;     /**< Of `used` of all, as it was last told. */
     UT_hash_handle hh;
 };
 
@@ -158,6 +166,7 @@
     struct ag_announce upstream;
     uint64_t announced_us; /**< 0 when no upstream has announced. */
     uint32_t busy;         /**< Task slots taken. */
+    struct resources used; /**< Taken by running tasks. */
     uint32_t calls;        /**< Connections taken by requests. */
     uint32_t foreign;      /**< Tasks running since before this process. */
     struct ag_health health;
@@ -211,6 +220,17 @@
 void Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle task,
                   enum code code, struct bytes output, uint32_t run_us);
 
+/** The upstream is gone: nothing starts until it announces itself again. */
+void Ag_OnUpstreamGone(struct agent *agent, struct now now);
+
+/** Tell all entries at once what the upstream offers. */
+void Ag_TellAll(struct agent *agent);
+
+/** A frame for an earlier process at this address shows that its sender does
+ * not know this one yet: introduce it. */
+void Ag_OnStranger(struct agent *agent, struct now now,
+                   const struct frame_head *head);
+
 /** Time has passed: heartbeats, leases, forgetting. */
 void Ag_OnTick(struct agent *agent, struct now now);
 
--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -23,6 +23,30 @@
 /** A process silent for this long is taken for dead. */
 #define PEER_SILENCE_US (3 * US_PER_S)
 
+/** Bounds by which processes watch each other. */
+struct timing {
+    uint64_t beat_us;   /**< Between heartbeats. */
+    uint64_t silent_us; /**< A connection silent for this is replaced, and
+                             nothing new is sent to its process. */
+    uint64_t orphan_us; /**< An agent ends the restartable tasks of an entry
+                             that it has not heard for this; 0: never. */
+    uint64_t echo_us;   /**< The same for an entry that does not hear it. */
+    uint64_t lost_us;   /**< An agent silent for this is lost. */
+    uint64_t clear_us;  /**< After this nothing restartable can run at a lost
+                             agent any more. */
+    uint64_t lapse_us;  /**< The same once its process is known to be gone. */
+};
+
+/** Bounds for callers that keep their keys: outcomes may be asked for later,
+ * so a process is given time. */
+void Timing_Init(struct timing *timing);
+
+/** Bounds for callers that submit again `resubmit_us` after a broken
+ * connection, to any entry: what an entry left behind has to end before.
+ * `lease_us` is the longest lease at an upstream. */
+void Timing_Derive(struct timing *timing, uint64_t resubmit_us,
+                   uint64_t lease_us);
+
 /** A process acts only on a configuration known within this time to be the
  * newest. */
 #define FRESH_US (3 * US_PER_S)
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -40,6 +40,9 @@
     uint32_t key_lifetime_s; /**< Answers and keys are kept this long. */
     unsigned char seed[16];  /**< For random numbers. */
     uint8_t check_fresh;     /**< Place nothing unless fresh. */
+    uint8_t by_contact;      /**< A member that is heard stays one, whatever
+                                  becomes of its row. */
+    struct timing timing;    /**< All 0 for Timing_Init(). */
 };
 
 /** A row of the registry. */
@@ -87,16 +90,19 @@
     uint32_t memory_mb;
     uint32_t cores;
     uint8_t leaving;
-    uint32_t outstanding; /**< Task slots taken by this entry's tasks. */
-    uint32_t calls;       /**< This entry's requests there. */
-    uint32_t others;      /**< Slots taken by others, as last reported. */
-    double pace;          /**< Run times there over those expected. */
-    uint8_t suspect;      /**< The agent says that its worker fails. */
-    uint32_t pace_count;  /**< Tasks behind `pace`, up to a bound. */
-    struct policy policy; /**< In force for tasks that run there. */
-    uint64_t config;      /**< Configuration that it has applied. */
-    uint64_t members;     /**< Rows that it has applied; entries. */
-    uint64_t ask_us;      /**< Its latest question, to be echoed. */
+    uint32_t outstanding;      /**< Task slots taken by this entry's tasks. */
+    uint32_t calls;            /**< This entry's requests there. */
+    uint32_t others;           /**< Slots taken by others, as last reported. */
+    struct resources capacity; /**< All 0 where only slots count. */
+    struct resources used;     /**< By this entry's tasks. */
+    struct resources others_used; /**< The same of others. */
+    double pace;                  /**< Run times there over those expected. */
+    uint8_t suspect;              /**< The agent says that its worker fails. */
+    uint32_t pace_count;          /**< Tasks behind `pace`, up to a bound. */
+    struct policy policy;         /**< In force for tasks that run there. */
+    uint64_t config;              /**< Configuration that it has applied. */
+    uint64_t members;             /**< Rows that it has applied; entries. */
+    uint64_t ask_us;              /**< Its latest question, to be echoed. */
     uint64_t vouch_us;    /**< When the question was sent that its latest
                                vouching answered, 0 for none. */
     uint64_t push_us;     /**< When state was last sent to it. */
@@ -112,6 +118,7 @@
 enum ent_task_state {
     ENT_WAITING = 0, /**< Not started anywhere. */
     ENT_SENT,        /**< Sent to an agent, outcome not yet known. */
+    ENT_LOST,        /**< Its agent is gone; its run may not have ended. */
     ENT_DONE,
 };
 
@@ -121,7 +128,8 @@
     uint32_t run_ms;
     struct bytes input;
     enum ent_task_state state;
-    uint8_t may_wait; /**< Sent to wait for a slot at a full agent. */
+    uint8_t may_wait;  /**< Sent to wait for a slot at a full agent. */
+    uint32_t failures; /**< Runs that failed. */
     uint32_t attempt;
     uint64_t agent; /**< Incarnation that it was last sent to. */
     uint64_t sent_us;
@@ -174,6 +182,11 @@
     uint32_t cores;
     enum priority priority;
     unsigned flags;
+    uint64_t name;         /**< The caller's, 0 for none. */
+    struct resources need; /**< Of each task. */
+    uint32_t max_attempts; /**< Failed runs of a task that end the job. */
+    uint64_t
+        objective_us; /**< When its answer is wanted, 0: by its deadline. */
     uint64_t body_hash;
     uint64_t submitted_us;
     uint64_t deadline_us;
@@ -187,6 +200,7 @@
     uint8_t is_begun; /**< Its turn came while it could still end in time. */
     uint64_t not_before_us; /**< Its tasks are not placed before this. */
     uint8_t read;           /**< A caller has read the answer. */
+    uint8_t is_named;       /**< Found by its caller's name. */
     enum code code;
     char detail[WIRE_ADDR_SIZE];
     uint32_t retry_after_ms;
@@ -210,6 +224,7 @@
     struct ent_service *service;
     struct ent_job *prev, *next; /**< In the service's queue. */
     UT_hash_handle hh;
+    UT_hash_handle name_hh; /**< By the caller's name, while it is open. */
 };
 
 /** Standing of an issuer number here. */
@@ -314,8 +329,9 @@
     uint32_t next_seq;
     struct tab jobs;
     struct ent_job *job_index;
-    uint32_t open_jobs;    /**< Jobs not yet answered. */
-    struct ent_job **open; /**< These jobs, in no order. */
+    struct ent_job *name_index; /**< Open jobs with a caller's name. */
+    uint32_t open_jobs;         /**< Jobs not yet answered. */
+    struct ent_job **open;      /**< These jobs, in no order. */
     struct tab asks;
     struct ent_ask *ask_index;
     uint64_t epoch_n;     /**< Highest epoch that this entry has taken. */
@@ -396,6 +412,26 @@
 void Ent_OnAnswerRead(struct entry *entry, struct now now,
                       const struct key *key);
 
+/** Cancel an open job by its caller's name. Returns 0 when there is none. */
+int Ent_CancelNamed(struct entry *entry, struct now now, uint64_t name);
+
+/** Look for an open job by its caller's name, and whether a task of it has
+ * been sent. Returns 0 when there is none. */
+int Ent_LookNamed(const struct entry *entry, uint64_t name, int *is_running);
+
+/** Open jobs of a kind of which no task has been sent. */
+uint32_t Ent_CountWaiting(const struct entry *entry, const char *kind);
+
+/** The connection on which a caller waited for the answer is closed. A job
+ * that nobody waits for and nobody can ask for is ended. */
+void Ent_OnCallerGone(struct entry *entry, struct now now, conn_id conn,
+                      const struct key *key);
+
+/** A frame for an earlier process at this address came from a process that
+ * may not be known here: meet it. */
+void Ent_OnStranger(struct entry *entry, struct now now,
+                    const struct frame_head *head);
+
 /** A message came in. */
 void Ent_OnMessage(struct entry *entry, struct now now,
                    const struct frame_head *head, const struct msg *msg);
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -14,6 +14,9 @@
         settings->issuer_capacity ? settings->issuer_capacity : AG_MAX_ISSUERS;
     memset(agent, 0, sizeof(*agent));
     agent->settings = *settings;
+    if (agent->settings.timing.beat_us == 0) {
+        Timing_Init(&agent->settings.timing);
+    }
     agent->sink = sink;
     agent->counters = counters;
     if (Tab_Init(&agent->tasks, sizeof(struct ag_task),
@@ -94,8 +97,12 @@
         status->memory_mb = agent->upstream.memory_mb;
         status->cores = agent->upstream.cores;
     }
+    status->capacity = agent->upstream.capacity;
     status->busy = Agi_Busy(agent);
+    status->used = agent->used;
+    status->mine_used = entry->used;
     entry->told = status->busy;
+    entry->told_cpu = agent->used.cpu;
     status->mine = entry->tasks;
     if (Agi_IsProbing(agent)) {
         status->slots = 1;
@@ -128,6 +135,7 @@
             return NULL;
         }
         entry->incarnation = head->from;
+        entry->met_us = now.us;
         memcpy(entry->addr, head->addr, sizeof(entry->addr));
         HASH_ADD(hh, agent->entry_index, incarnation,
                  sizeof(entry->incarnation), entry);
@@ -147,6 +155,29 @@
     Tab_Remove(&agent->entries, entry);
 }
 
+static void
+note_echo(struct ag_entry *entry, struct now now, uint64_t echo_us)
+{
+    if (echo_us <= now.us && echo_us > entry->back_us) {
+        entry->back_us = echo_us;
+    }
+}
+
+void
+Ag_OnStranger(struct agent *agent, struct now now,
+              const struct frame_head *head)
+{
+    struct ag_entry *entry;
+    if (head->role != ROLE_ENTRY) {
+        return;
+    }
+    HASH_FIND(hh, agent->entry_index, &head->from, sizeof(head->from), entry);
+    if (!entry && (entry = hear_entry(agent, now, head))) {
+        CTR_INC(agent->counters, strangers);
+        Agi_SendStatus(agent, now, entry);
+    }
+}
+
 void
 Ag_OnMessage(struct agent *agent, struct now now,
              const struct frame_head *head, const struct msg *msg)
@@ -158,13 +189,12 @@
     switch (msg->type) {
     case MSG_BEAT:
         entry->echo_us = msg->u.beat.sent_us;
-        if (msg->u.beat.echo_us && msg->u.beat.echo_us <= now.us) {
-            entry->back_us = msg->u.beat.echo_us;
-        }
+        note_echo(entry, now, msg->u.beat.echo_us);
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
         entry->start_us = now.us;
+        note_echo(entry, now, msg->u.start.heard_us);
         Agi_OnStart(agent, now, head->from, &msg->u.start);
         Agi_SendNews(agent, now);
         break;
@@ -198,6 +228,7 @@
         agent->busy--;
         Agi_CountTask(agent, task->from, -1);
     }
+    Agi_Take(agent, task, -1);
     if (agent->busy + agent->calls < agent->least) {
         agent->least = agent->busy + agent->calls;
     }
@@ -235,9 +266,10 @@
     }
     task->code = code;
     task->run_us = run_us;
-    if (code == CODE_NO_UPSTREAM) {
+    if (Code_Run(code) == CODE_NOT_RUN) {
         task->state = TASK_REFUSED;
         Agi_SendTask(agent, task->epoch.owner, MSG_RESULT, task);
+        Agi_RunHeld(agent, now);
         return;
     }
     if (code == CODE_OUTCOME_UNKNOWN) {
@@ -261,17 +293,18 @@
 static void
 beat_entries(struct agent *agent, struct now now)
 {
+    uint64_t limit_us = agent->settings.timing.silent_us;
     uint32_t slot = 0;
     struct ag_entry *entry;
     while ((entry = Tab_Next(&agent->entries, &slot))) {
         uint64_t silent_us = now.us - entry->heard_us;
-        if (silent_us > PEER_SILENCE_US) {
+        if (silent_us > PEER_SILENCE_US &&
+            silent_us > agent->settings.timing.clear_us) {
             drop_entry(agent, entry);
             continue;
         }
-        if (now.us - entry->link_us > LINK_SILENCE_US &&
-            (silent_us > LINK_SILENCE_US ||
-             now.us - entry->back_us > LINK_SILENCE_US)) {
+        if (now.us - entry->link_us > limit_us &&
+            (silent_us > limit_us || now.us - entry->back_us > limit_us)) {
             CTR_INC(agent->counters, links_replaced);
             link_entry(agent, now, entry);
         }
@@ -295,6 +328,16 @@
     }
 }
 
+void
+Ag_OnUpstreamGone(struct agent *agent, struct now now)
+{
+    if (agent->announced_us) {
+        agent->announced_us = 0;
+        Agi_CheckHeld(agent, now);
+        Ag_TellAll(agent);
+    }
+}
+
 void
 Ag_OnTick(struct agent *agent, struct now now)
 {
@@ -303,9 +346,10 @@
         agent->announced_us = 0;
     }
     if (now.us >= agent->next_beat_us) {
-        agent->next_beat_us = now.us + BEAT_INTERVAL_US;
+        agent->next_beat_us = now.us + agent->settings.timing.beat_us;
         beat_entries(agent, now);
     }
+    Agi_EndOrphans(agent, now);
     Agi_CheckHealth(agent, now);
     Agi_CheckHeld(agent, now);
     Agi_SendNews(agent, now);
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -65,6 +65,24 @@
 void Agi_Begin(struct agent *agent, struct now now, uint64_t from,
                struct ag_task *task, const struct msg_start *start);
 
+/* room.c */
+
+/** True when the upstream has the resources for one more task. */
+int Agi_Fits(const struct agent *agent, const struct resources *need);
+
+/** Take (or, with `sign` -1, give back) what a task needs. */
+void Agi_Take(struct agent *agent, const struct ag_task *task, int sign);
+
+/* orphan.c */
+
+/** End the restartable tasks of entries that are not heard. */
+void Agi_EndOrphans(struct agent *agent, struct now now);
+
+/** True while a start is young enough to be acted on: one that lay in a
+ * queue may have been given up by its sender. */
+int Agi_IsCurrent(const struct agent *agent, struct now now,
+                  const struct msg_start *start);
+
 /** Slots taken, as entries are told. */
 uint32_t Agi_Busy(const struct agent *agent);
 
@@ -79,12 +97,9 @@
 /** Note that tasks of an entry take more (or, below 0, fewer) slots. */
 void Agi_CountTask(struct agent *agent, uint64_t from, int tasks);
 
-/** Note that an entry is told how many slots are taken. Returns those taken
- * by its own tasks. */
-uint32_t Agi_NoteTold(struct agent *agent, uint64_t to);
-
-/** Tell all entries what the upstream offers now. */
-void Agi_TellAll(struct agent *agent);
+/** Write into a result what is taken, all and by the receiver's tasks, and
+ * note that it has been told. */
+void Agi_NoteTold(struct agent *agent, uint64_t to, struct msg_result *result);
 
 /* health.c */
 
@@ -120,6 +135,9 @@
 /** Refuse what waits of a range that has a new owner. */
 void Agi_RevokeIssuer(struct agent *agent, uint64_t issuer);
 
+/** Refuse what waits for an entry that is not heard any more. */
+void Agi_RevokeFrom(struct agent *agent, uint64_t from);
+
 /** Refuse what waits of a cancelled job. */
 void Agi_RevokeJob(struct agent *agent, const struct ag_job *job);
 
--- a/core/src/agent/health.c
+++ b/core/src/agent/health.c
@@ -33,7 +33,7 @@
     health->probing = 0;
     health->failures = 0;
     CTR_INC(agent->counters, workers_suspected);
-    Agi_TellAll(agent);
+    Ag_TellAll(agent);
 }
 
 void
@@ -52,11 +52,12 @@
         health->out_us = 0;
         health->probing = 0;
         if (was_probing) {
-            Agi_TellAll(agent);
+            Ag_TellAll(agent);
         }
         return;
     }
-    if (task->code != CODE_TASK_FAILED || Agi_IsSuspect(agent) ||
+    int is_bad = task->code == CODE_TASK_FAILED || task->code == CODE_STALLED;
+    if (!is_bad || Agi_IsSuspect(agent) ||
         (id->issuer == health->last.issuer && id->seq == health->last.seq)) {
         return;
     }
@@ -76,7 +77,7 @@
     if (Agi_IsSuspect(agent) && now.us >= health->out_until_us) {
         health->out_until_us = 0;
         health->probing = 1;
-        Agi_TellAll(agent);
+        Ag_TellAll(agent);
     }
 }
 
--- a/core/src/agent/hold.c
+++ b/core/src/agent/hold.c
@@ -131,6 +131,21 @@
     }
 }
 
+void
+Agi_RevokeFrom(struct agent *agent, uint64_t from)
+{
+    for (int priority = 0; priority < PRIO_COUNT; priority++) {
+        struct ag_hold *hold;
+        struct ag_hold *following;
+        DL_FOREACH_SAFE(agent->holds[priority], hold, following)
+        {
+            if (hold->from == from && hold->start.flags & SUB_RESTART) {
+                refuse_held(agent, hold, CODE_STALE_START, 0);
+            }
+        }
+    }
+}
+
 void
 Agi_RevokeJob(struct agent *agent, const struct ag_job *job)
 {
--- a/core/src/agent/news.c
+++ b/core/src/agent/news.c
@@ -6,6 +6,13 @@
 static int
 is_news(const struct agent *agent, const struct ag_entry *entry)
 {
+    uint32_t cpu = agent->used.cpu;
+    uint32_t moved =
+        cpu > entry->told_cpu ? cpu - entry->told_cpu : entry->told_cpu - cpu;
+    uint32_t step = agent->upstream.capacity.cpu / AG_NEWS_PARTS;
+    if (step && moved >= step) {
+        return 1;
+    }
     uint32_t busy = Agi_Busy(agent);
     uint32_t slots = agent->upstream.slots;
     uint32_t change =
@@ -38,7 +45,7 @@
 }
 
 void
-Agi_TellAll(struct agent *agent)
+Ag_TellAll(struct agent *agent)
 {
     uint32_t slot = 0;
     struct ag_entry *entry;
@@ -47,13 +54,17 @@
     }
 }
 
-uint32_t
-Agi_NoteTold(struct agent *agent, uint64_t to)
+void
+Agi_NoteTold(struct agent *agent, uint64_t to, struct msg_result *result)
 {
     struct ag_entry *entry;
     HASH_FIND(hh, agent->entry_index, &to, sizeof(to), entry);
+    result->busy = Agi_Busy(agent);
+    result->used = agent->used;
     if (entry) {
-        entry->told = Agi_Busy(agent);
+        entry->told = result->busy;
+        entry->told_cpu = agent->used.cpu;
+        result->mine = entry->tasks;
+        result->mine_used = entry->used;
     }
-    return entry ? entry->tasks : 0;
 }
--- /dev/null
+++ b/core/src/agent/orphan.c
@@ -0,0 +1,57 @@
+/* Restartable tasks whose entry is gone. Their caller submits again, and the
+ * tasks are then started elsewhere, so they have to end here before that. */
+#include <utlist.h>
+
+#include "agent_impl.h"
+
+static int
+is_gone(const struct agent *agent, struct now now,
+        const struct ag_entry *entry)
+{
+    const struct timing *timing = &agent->settings.timing;
+    uint64_t back_us =
+        entry->back_us > entry->met_us ? entry->back_us : entry->met_us;
+    return now.us - entry->heard_us > timing->orphan_us ||
+           now.us - back_us > timing->echo_us;
+}
+
+static void
+end_tasks(struct agent *agent, struct now now, uint64_t from)
+{
+    struct ag_task *task;
+    DL_FOREACH2(agent->running, task, following)
+    {
+        if (task->from == from && task->flags & SUB_RESTART) {
+            CTR_INC(agent->counters, tasks_orphaned);
+            Agi_StopTask(agent, now, task);
+        }
+    }
+}
+
+void
+Agi_EndOrphans(struct agent *agent, struct now now)
+{
+    uint32_t slot = 0;
+    struct ag_entry *entry;
+    if (agent->settings.timing.orphan_us == 0) {
+        return;
+    }
+    while ((entry = Tab_Next(&agent->entries, &slot))) {
+        if (is_gone(agent, now, entry)) {
+            Agi_RevokeFrom(agent, entry->incarnation);
+            end_tasks(agent, now, entry->incarnation);
+        }
+    }
+}
+
+int
+Agi_IsCurrent(const struct agent *agent, struct now now,
+              const struct msg_start *start)
+{
+    const struct timing *timing = &agent->settings.timing;
+    if (timing->orphan_us == 0 || !(start->flags & SUB_RESTART)) {
+        return 1;
+    }
+    return start->heard_us && start->heard_us <= now.us &&
+           now.us - start->heard_us < timing->orphan_us;
+}
--- /dev/null
+++ b/core/src/agent/room.c
@@ -0,0 +1,45 @@
+/* Resources of the upstream. This process is the only one that starts tasks
+ * there, so its count is what keeps the upstream within its capacity. */
+#include "agent_impl.h"
+
+static int
+is_limited(const struct resources *capacity)
+{
+    return capacity->cpu || capacity->memory_mb || capacity->gpu;
+}
+
+static int
+fits(uint32_t used, uint32_t need, uint32_t capacity)
+{
+    return need == 0 || (used <= capacity && need <= capacity - used);
+}
+
+int
+Agi_Fits(const struct agent *agent, const struct resources *need)
+{
+    const struct resources *all = &agent->upstream.capacity;
+    const struct resources *used = &agent->used;
+    return !is_limited(all) ||
+           (fits(used->cpu, need->cpu, all->cpu) &&
+            fits(used->memory_mb, need->memory_mb, all->memory_mb) &&
+            fits(used->gpu, need->gpu, all->gpu));
+}
+
+static void
+add(struct resources *sum, const struct resources *amount, int sign)
+{
+    sum->cpu += (uint32_t)sign * amount->cpu;
+    sum->memory_mb += (uint32_t)sign * amount->memory_mb;
+    sum->gpu += (uint32_t)sign * amount->gpu;
+}
+
+void
+Agi_Take(struct agent *agent, const struct ag_task *task, int sign)
+{
+    struct ag_entry *entry;
+    add(&agent->used, &task->need, sign);
+    HASH_FIND(hh, agent->entry_index, &task->from, sizeof(task->from), entry);
+    if (entry && (sign > 0 || entry->used.cpu >= task->need.cpu)) {
+        add(&entry->used, &task->need, sign);
+    }
+}
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -23,9 +23,8 @@
     result->state = task->state;
     result->code = task->code;
     result->run_us = task->run_us;
-    result->busy = Agi_Busy(agent);
     result->output = task->output;
-    result->mine = Agi_NoteTold(agent, to);
+    Agi_NoteTold(agent, to, result);
     Act_Send(&agent->sink, to, &msg);
 }
 
@@ -41,9 +40,8 @@
     result->attempt = start->attempt;
     result->state = TASK_REFUSED;
     result->code = code;
-    result->busy = Agi_Busy(agent);
     Ctr_Code(agent->counters, code);
-    result->mine = Agi_NoteTold(agent, to);
+    Agi_NoteTold(agent, to, result);
     Act_Send(&agent->sink, to, &msg);
 }
 
@@ -60,9 +58,13 @@
 Agi_CheckRoom(struct agent *agent, struct now now,
               const struct msg_start *start)
 {
-    if (agent->registered == 0) {
+    /* Registration matters where an outcome may be asked for later. */
+    if (agent->registered == 0 && !(start->flags & SUB_RESTART)) {
         return CODE_NOT_ADMITTED;
     }
+    if (!Agi_IsCurrent(agent, now, start)) {
+        return CODE_STALE_START;
+    }
     if (!Agi_HasRoom(agent)) {
         return CODE_NO_MEMORY;
     }
@@ -84,7 +86,10 @@
         return used < agent->upstream.connections ? CODE_OK : CODE_NO_SLOT;
     }
     uint32_t used = agent->busy + agent->foreign;
-    return used < agent->upstream.slots ? CODE_OK : CODE_NO_SLOT;
+    if (used >= agent->upstream.slots || !Agi_Fits(agent, &start->need)) {
+        return CODE_NO_SLOT;
+    }
+    return CODE_OK;
 }
 
 /* A reason to refuse that never passes for this key, CODE_OK for none. */
@@ -98,7 +103,7 @@
     if (epoch != CODE_OK) {
         return epoch;
     }
-    if (start->key.rv < agent->registered) {
+    if (start->key.rv < agent->registered && !(start->flags & SUB_RESTART)) {
         return CODE_KEY_TOO_OLD;
     }
     return CODE_OK;
@@ -119,6 +124,7 @@
     task->state = TASK_RUNNING;
     task->code = CODE_OK;
     task->flags = start->flags;
+    task->need = start->need;
     task->lease_end_us = now.us + start->lease_ms * US_PER_MS;
     if (start->flags & SUB_REQUEST) {
         agent->calls++;
@@ -128,6 +134,7 @@
         Agi_CountTask(agent, from, 1);
     }
     task->from = from;
+    Agi_Take(agent, task, 1);
     CTR_INC(agent->counters, tasks_started);
     struct act act = {.type = ACT_RUN};
     act.u.run.task = Tab_Handle(&agent->tasks, task);
@@ -172,15 +179,22 @@
     Agi_Refuse(agent, from, start, code);
 }
 
-/* A task that was started before; only a request marked idempotent is run
- * again, when its owner asks for that by a new attempt. */
+/* Whether a task that ended badly may run again when its owner asks for that
+ * by a new attempt. */
+static int
+may_repeat(const struct msg_start *start)
+{
+    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    return (start->flags & both) == both || start->flags & SUB_RESTART;
+}
+
+/* A task that was started before. */
 static void
 meet_started(struct agent *agent, struct now now, uint64_t from,
              const struct msg_start *start, struct ag_task *task,
              enum code epoch)
 {
-    unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
-    int again = (start->flags & both) == both && task->state == TASK_FAILED;
+    int again = may_repeat(start) && task->state == TASK_FAILED;
     if (again && epoch == CODE_OK && !is_superseded(task, start)) {
         start_task(agent, now, from, start, task);
         return;
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -105,7 +105,7 @@
     const struct ent_peer *agent;
     DL_FOREACH(service->agents, agent)
     {
-        if (agent->memory_mb >= job->memory_mb && agent->cores >= job->cores) {
+        if (Enti_CouldFit(agent, job)) {
             return 1;
         }
     }
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -22,6 +22,9 @@
     entry->settings = *settings;
     entry->sink = sink;
     entry->counters = counters;
+    if (entry->settings.timing.beat_us == 0) {
+        Timing_Init(&entry->settings.timing);
+    }
     entry->started_us = now.us;
     Pol_Init(&entry->policy);
     entry->open = calloc(settings->job_capacity, sizeof(void *));
@@ -57,6 +60,7 @@
     for (issuer = entry->issuer_index; issuer; issuer = issuer->hh.next) {
         Enti_DropFences(issuer);
     }
+    HASH_CLEAR(name_hh, entry->name_index);
     HASH_CLEAR(hh, entry->issuer_index);
     HASH_CLEAR(hh, entry->peer_index);
     HASH_CLEAR(node_hh, entry->node_index);
@@ -115,6 +119,10 @@
               const struct frame_head *head, const struct msg *msg)
 {
     struct ent_peer *peer = Enti_HearPeer(entry, now, head);
+    if (!peer && entry->settings.by_contact) {
+        Ent_OnStranger(entry, now, head);
+        peer = Enti_HearPeer(entry, now, head);
+    }
     if (!peer) {
         return;
     }
@@ -203,7 +211,11 @@
     }
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
-        if (task->state != ENT_SENT) {
+        if (task->state != ENT_SENT && task->state != ENT_LOST) {
+            continue;
+        }
+        if (task->resend_us <= now.us && task->state == ENT_LOST) {
+            Enti_Retry(entry, now, job, task, CODE_RUN_LOST);
             continue;
         }
         if (task->resend_us <= now.us) {
@@ -262,7 +274,14 @@
         }
         int ended =
             job->state == ENT_JOB_ANSWERED || job->state == ENT_JOB_HELD;
-        if (!ended || job->key.issued_s + lifetime >= now.wall) {
+        if (!ended) {
+            continue;
+        }
+        if (Enti_IsRestartable(job)) {
+            Enti_DropJob(entry, job);
+            continue;
+        }
+        if (job->key.issued_s + lifetime >= now.wall) {
             continue;
         }
         if (job->key.issued_s > entry->forgotten_s) {
@@ -276,7 +295,7 @@
 Ent_OnTick(struct entry *entry, struct now now)
 {
     if (now.us >= entry->next_beat_us) {
-        entry->next_beat_us = now.us + BEAT_INTERVAL_US;
+        entry->next_beat_us = now.us + entry->settings.timing.beat_us;
         Enti_BeatPeers(entry, now);
         Enti_SendUsage(entry, now);
     }
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -13,8 +13,6 @@
 #define SUBMIT_RESEND_US (1 * US_PER_S)
 /** A fence without an answer is sent again after this. */
 #define FENCE_RESEND_US (500 * US_PER_MS)
-/** An agent silent for this long is lost with what runs on it. */
-#define AGENT_LOST_US (10 * US_PER_S)
 /** A new entry waits this long to hear who owns which keys. */
 #define SETTLE_US (2 * US_PER_S)
 
@@ -72,6 +70,10 @@
 /** True when the process has been heard of late. */
 int Enti_IsAlive(struct now now, const struct ent_peer *peer);
 
+/** True when it has been heard so lately that work may be sent to it. */
+int Enti_IsHeard(const struct entry *entry, struct now now,
+                 const struct ent_peer *peer);
+
 /** Note that a process was heard; NULL for one that is no member yet. */
 struct ent_peer *Enti_HearPeer(struct entry *entry, struct now now,
                                const struct frame_head *head);
@@ -167,6 +169,45 @@
 void Enti_Reply(struct entry *entry, const struct ent_job *job, uint64_t from,
                 conn_id conn);
 
+/* restart.c */
+
+/** True for a job whose tasks may run again from the start. */
+int Enti_IsRestartable(const struct ent_job *job);
+
+/** An open job by its caller's name, NULL when there is none. */
+struct ent_job *Enti_FindNamed(const struct entry *entry, uint64_t name);
+
+/** An agent is silent: end the restartable jobs that cannot wait until their
+ * tasks there have surely ended. */
+void Enti_MarkLost(struct entry *entry, struct now now,
+                   const struct ent_peer *agent);
+
+/** The agent of a restartable task is gone: it is placed again once its run
+ * has surely ended, if that leaves the job enough time. */
+void Enti_LoseRun(struct entry *entry, struct now now, struct ent_job *job,
+                  struct ent_task *task, const struct ent_peer *agent);
+
+/** A run of a restartable task ended badly. Returns 1 when the task has been
+ * put back into the queue. */
+int Enti_Retry(struct entry *entry, struct now now, struct ent_job *job,
+               struct ent_task *task, enum code code);
+
+/* room.c */
+
+/** Tasks that need `need` for which an agent has the resources, as far as is
+ * known here; UINT32_MAX where only slots count. */
+uint32_t Enti_Fits(const struct ent_peer *agent, const struct resources *need);
+
+/** True when an agent could ever run a task of the job. */
+int Enti_CouldFit(const struct ent_peer *agent, const struct ent_job *job);
+
+/** Count (or, with `sign` -1, count no more) a task's need at an agent. */
+void Enti_Take(struct ent_peer *agent, const struct ent_job *job, int sign);
+
+/** Take in what an agent says is taken, and what of it by this entry. */
+void Enti_NoteUsed(struct ent_peer *agent, const struct resources *used,
+                   const struct resources *mine);
+
 /* learn.c */
 
 /** What is known of a kind of task; never NULL. */
--- a/core/src/entry/handover.c
+++ b/core/src/entry/handover.c
@@ -37,7 +37,7 @@
 {
     const struct ent_issuer *issuer = Enti_FindIssuer(entry, job->key.issuer);
     return job->state == ENT_JOB_ANSWERED && !job->handed && issuer &&
-           Enti_IsOwner(issuer);
+           !Enti_IsRestartable(job) && Enti_IsOwner(issuer);
 }
 
 static void
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -60,6 +60,23 @@
     last->open_index = job->open_index;
 }
 
+/* Only an open job is found by its caller's name: a later one of that name
+ * may run again from the start. */
+static void
+note_name(struct entry *entry, struct ent_job *job, int is_open)
+{
+    if (job->name == 0 || job->is_named == is_open) {
+        return;
+    }
+    job->is_named = (uint8_t)is_open;
+    if (is_open) {
+        HASH_ADD(name_hh, entry->name_index, name, sizeof(job->name), job);
+    }
+    else {
+        HASH_DELETE(name_hh, entry->name_index, job);
+    }
+}
+
 void
 Enti_SetState(struct entry *entry, struct ent_job *job,
               enum ent_job_state state)
@@ -71,6 +88,7 @@
     if (!was_open && is_unanswered(state)) {
         add_open(entry, job);
     }
+    note_name(entry, job, is_unanswered(state));
     job->state = state;
 }
 
@@ -207,6 +225,9 @@
     job->cores = sub->cores;
     job->priority = sub->priority;
     job->flags = sub->flags;
+    job->name = sub->name;
+    job->need = sub->need;
+    job->max_attempts = sub->max_attempts;
     job->body_hash = Enti_HashBody(sub);
     job->submitted_us = now.us;
     job->deadline_us = now.us + sub->deadline_ms * US_PER_MS;
@@ -330,7 +351,8 @@
     Ctr_Code(entry->counters, code);
     Enti_Unqueue(job);
     for (uint32_t i = 0; i < job->task_count; i++) {
-        if (job->tasks[i].state == ENT_SENT) {
+        if (job->tasks[i].state == ENT_SENT ||
+            job->tasks[i].state == ENT_LOST) {
             Enti_Release(entry, job, &job->tasks[i]);
         }
     }
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -18,6 +18,15 @@
     return peer->heard_us != 0 && now.us - peer->heard_us < PEER_SILENCE_US;
 }
 
+int
+Enti_IsHeard(const struct entry *entry, struct now now,
+             const struct ent_peer *peer)
+{
+    return Enti_IsAlive(now, peer) &&
+           (entry->settings.timing.orphan_us == 0 ||
+            now.us - peer->heard_us < entry->settings.timing.silent_us);
+}
+
 static void
 link_peer(struct entry *entry, struct now now, struct ent_peer *peer)
 {
@@ -89,11 +98,44 @@
     }
 }
 
+/* The row of an earlier process, while the one that introduced itself since
+ * is heard. */
+static int
+is_overtaken(const struct entry *entry, struct now now,
+             const struct ent_peer *peer, const struct ent_member *member)
+{
+    return entry->settings.by_contact &&
+           peer->member.incarnation > member->incarnation &&
+           Enti_IsHeard(entry, now, peer);
+}
+
+void
+Ent_OnStranger(struct entry *entry, struct now now,
+               const struct frame_head *head)
+{
+    struct ent_member member = {.role = head->role, .incarnation = head->from};
+    const struct ent_peer *peer = find_node(entry, head->node);
+    if (!entry->settings.by_contact || Enti_FindPeer(entry, head->from) ||
+        head->from == entry->settings.incarnation ||
+        (peer && peer->member.incarnation > head->from &&
+         Enti_IsHeard(entry, now, peer))) {
+        return;
+    }
+    memcpy(member.node, head->node, sizeof(member.node));
+    memcpy(member.addr, head->addr, sizeof(member.addr));
+    memcpy(member.dc, head->dc, sizeof(member.dc));
+    CTR_INC(entry->counters, strangers);
+    Ent_OnMember(entry, now, &member);
+}
+
 void
 Ent_OnMember(struct entry *entry, struct now now,
              const struct ent_member *member)
 {
     struct ent_peer *peer = find_node(entry, member->node);
+    if (peer && is_overtaken(entry, now, peer, member)) {
+        return;
+    }
     if (peer && peer->member.incarnation == member->incarnation) {
         note_registered(peer, member->registered);
         return;
@@ -132,6 +174,11 @@
                  uint64_t version)
 {
     struct ent_peer *peer = find_node(entry, node);
+    if (peer && entry->settings.by_contact &&
+        now.us - peer->heard_us < entry->settings.timing.clear_us) {
+        /* Its row may have gone in an outage; it writes it again. */
+        return;
+    }
     if (peer) {
         lose_member(entry, now, peer, version);
         note_lost(entry, now, version);
@@ -216,6 +263,8 @@
     note_registered(peer, status->registered);
     peer->slots = status->slots;
     peer->connections = status->connections;
+    peer->capacity = status->capacity;
+    Enti_NoteUsed(peer, &status->used, &status->mine_used);
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
     peer->leaving = status->leaving;
@@ -248,12 +297,30 @@
 
 /* Either nothing comes from the peer, or it does not get what is sent. */
 static int
-is_link_silent(struct now now, const struct ent_peer *peer)
+is_link_silent(const struct entry *entry, struct now now,
+               const struct ent_peer *peer)
 {
+    uint64_t limit_us = entry->settings.timing.silent_us;
     uint64_t heard_us =
         peer->back_us < peer->heard_us ? peer->back_us : peer->heard_us;
-    return now.us - peer->link_us > LINK_SILENCE_US &&
-           (heard_us > now.us || now.us - heard_us > LINK_SILENCE_US);
+    return now.us - peer->link_us > limit_us &&
+           (heard_us > now.us || now.us - heard_us > limit_us);
+}
+
+static void
+watch_agent(struct entry *entry, struct now now, struct ent_peer *agent,
+            uint64_t silent_us)
+{
+    const struct timing *timing = &entry->settings.timing;
+    if (timing->orphan_us && silent_us > timing->lost_us &&
+        silent_us <= timing->clear_us) {
+        Enti_MarkLost(entry, now, agent);
+    }
+    if (silent_us > timing->clear_us) {
+        agent->heard_us = 0;
+        CTR_INC(entry->counters, peers_lost);
+        Enti_LoseAgent(entry, now, agent);
+    }
 }
 
 void
@@ -263,16 +330,13 @@
     struct ent_peer *peer;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
         uint64_t silent_us = now.us - peer->heard_us;
-        if (is_link_silent(now, peer)) {
+        if (is_link_silent(entry, now, peer)) {
             CTR_INC(entry->counters, links_replaced);
             link_peer(entry, now, peer);
             Enti_AskAgain(entry, now, peer->member.incarnation);
         }
-        if (peer->heard_us && silent_us > AGENT_LOST_US &&
-            peer->member.role == ROLE_AGENT) {
-            peer->heard_us = 0;
-            CTR_INC(entry->counters, peers_lost);
-            Enti_LoseAgent(entry, now, peer);
+        if (peer->heard_us && peer->member.role == ROLE_AGENT) {
+            watch_agent(entry, now, peer, silent_us);
         }
         beat_peer(entry, now, peer);
     }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -26,11 +26,22 @@
     return used < room ? room - used : 0;
 }
 
+/* The same for one job: as often as one of its tasks fits. */
+static uint32_t
+room_for(struct now now, const struct ent_peer *agent,
+         const struct ent_job *job)
+{
+    uint32_t room = free_room(now, agent, job->flags);
+    uint32_t fits = Enti_Fits(agent, &job->need);
+    return fits < room ? fits : room;
+}
+
 static int
 may_run(const struct ent_peer *agent, const struct ent_job *job)
 {
-    return agent->member.registered <= job->key.rv &&
-           agent->memory_mb >= job->memory_mb && agent->cores >= job->cores;
+    return (Enti_IsRestartable(job) ||
+            agent->member.registered <= job->key.rv) &&
+           Enti_CouldFit(agent, job);
 }
 
 static int
@@ -46,8 +57,8 @@
     if (agent->suspect && !(agent->service && agent->service->use_suspects)) {
         return 0;
     }
-    return Enti_IsAlive(now, agent) && !agent->leaving && !agent->draining &&
-           is_in_service(entry, agent);
+    return Enti_IsHeard(entry, now, agent) && !agent->leaving &&
+           !agent->draining && is_in_service(entry, agent);
 }
 
 static int
@@ -122,7 +133,7 @@
     struct ent_peer *agent;
     DL_FOREACH(job->service->agents, agent)
     {
-        uint32_t room = free_room(now, agent, job->flags);
+        uint32_t room = room_for(now, agent, job);
         uint32_t spare = 0;
         if (room == 0 && !(job->flags & SUB_REQUEST)) {
             spare = spare_room(entry, job->service, agent);
@@ -226,6 +237,12 @@
     memcpy(start->team, job->team, sizeof(start->team));
     start->body_hash = job->body_hash;
     start->input = task->input;
+    start->name = job->name;
+    start->need = job->need;
+    start->expect_ms =
+        (uint32_t)(Enti_ExpectUs(job->kind_row, task->run_ms) / US_PER_MS);
+    const struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
+    start->heard_us = agent ? agent->echo_us : 0;
     task->sent_us = now.us;
     task->resend_us = now.us + START_RESEND_US;
     if (task->resend_us < job->due_us) {
@@ -278,6 +295,7 @@
     }
     else {
         agent->outstanding++;
+        Enti_Take(agent, job, 1);
         job->share->running++;
     }
     if (job->waiting == 0) {
@@ -443,6 +461,7 @@
     if (*used > 0) {
         (*used)--;
     }
+    Enti_Take(agent, job, -1);
 }
 
 void
--- /dev/null
+++ b/core/src/entry/restart.c
@@ -0,0 +1,157 @@
+/* Jobs that are not kept: only the caller who waits on a connection wants
+ * them, and their tasks may run again from the start. What must not happen
+ * is two runs of a task at the same time: a task goes elsewhere only when its
+ * run has surely ended. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_impl.h"
+
+int
+Enti_IsRestartable(const struct ent_job *job)
+{
+    return (job->flags & SUB_RESTART) != 0;
+}
+
+struct ent_job *
+Enti_FindNamed(const struct entry *entry, uint64_t name)
+{
+    struct ent_job *job = NULL;
+    if (name) {
+        HASH_FIND(name_hh, entry->name_index, &name, sizeof(name), job);
+    }
+    return job;
+}
+
+int
+Enti_Retry(struct entry *entry, struct now now, struct ent_job *job,
+           struct ent_task *task, enum code code)
+{
+    if (!Enti_IsRestartable(job)) {
+        return 0;
+    }
+    /* The worker's own troubles are no failures of the task. */
+    task->failures += code == CODE_TASK_FAILED;
+    if (task->failures >= job->max_attempts && code == CODE_TASK_FAILED) {
+        return 0;
+    }
+    job->maybe_ran = 1;
+    Enti_Requeue(entry, now, job, task);
+    return 1;
+}
+
+void
+Enti_LoseRun(struct entry *entry, struct now now, struct ent_job *job,
+             struct ent_task *task, const struct ent_peer *agent)
+{
+    const struct timing *timing = &entry->settings.timing;
+    uint64_t end_us = now.us + timing->lapse_us;
+    if (now.us - agent->heard_us >= timing->clear_us) {
+        end_us = now.us;
+    }
+    if (end_us + job->longest_us > job->deadline_us) {
+        Enti_SendCancel(entry, job);
+        Enti_Answer(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
+        return;
+    }
+    task->state = ENT_LOST;
+    task->resend_us = end_us;
+    if (end_us < job->due_us) {
+        job->due_us = end_us;
+    }
+}
+
+static int
+has_lost_task(const struct ent_job *job, uint64_t agent)
+{
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        if (job->tasks[i].state == ENT_SENT && job->tasks[i].agent == agent) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+void
+Enti_MarkLost(struct entry *entry, struct now now,
+              const struct ent_peer *agent)
+{
+    uint64_t clear_us = agent->heard_us + entry->settings.timing.clear_us;
+    for (uint32_t i = entry->open_jobs; i-- > 0;) {
+        struct ent_job *job = i < entry->open_jobs ? entry->open[i] : NULL;
+        if (!job || job->state != ENT_JOB_OPEN || !Enti_IsRestartable(job) ||
+            !has_lost_task(job, agent->member.incarnation)) {
+            continue;
+        }
+        if (clear_us + job->longest_us > job->deadline_us) {
+            Enti_SendCancel(entry, job);
+            Enti_Answer(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
+        }
+    }
+    (void)now;
+}
+
+int
+Ent_CancelNamed(struct entry *entry, struct now now, uint64_t name)
+{
+    struct ent_job *job = Enti_FindNamed(entry, name);
+    (void)now;
+    if (!job) {
+        return 0;
+    }
+    Enti_SendCancel(entry, job);
+    Enti_Answer(entry, job, CODE_JOB_CANCELLED, NULL);
+    return 1;
+}
+
+int
+Ent_LookNamed(const struct entry *entry, uint64_t name, int *is_running)
+{
+    const struct ent_job *job = Enti_FindNamed(entry, name);
+    *is_running = job && (job->waiting < job->task_count || job->maybe_ran);
+    return job != NULL;
+}
+
+uint32_t
+Ent_CountWaiting(const struct entry *entry, const char *kind)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < entry->open_jobs; i++) {
+        const struct ent_job *job = entry->open[i];
+        count += job->waiting == job->task_count && !job->maybe_ran &&
+                 strcmp(job->kind, kind) == 0;
+    }
+    return count;
+}
+
+static void
+drop_waiter(struct ent_job *job, conn_id conn)
+{
+    struct ent_waiter **at = &job->waiters;
+    while (*at && ((*at)->entry != 0 || (*at)->conn != conn)) {
+        at = &(*at)->next;
+    }
+    struct ent_waiter *waiter = *at;
+    if (waiter) {
+        *at = waiter->next;
+        free(waiter);
+    }
+}
+
+void
+Ent_OnCallerGone(struct entry *entry, struct now now, conn_id conn,
+                 const struct key *key)
+{
+    struct ent_job *job = Enti_FindJob(entry, key);
+    (void)now;
+    if (!job || job->state == ENT_JOB_ANSWERED) {
+        return;
+    }
+    drop_waiter(job, conn);
+    if (job->waiters || !Enti_IsRestartable(job)) {
+        return;
+    }
+    CTR_INC(entry->counters, jobs_abandoned);
+    Enti_SendCancel(entry, job);
+    Enti_Answer(entry, job, CODE_JOB_CANCELLED, NULL);
+}
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -105,6 +105,9 @@
            struct ent_task *task, enum code code)
 {
     unsigned both = SUB_IDEMPOTENT | SUB_REQUEST;
+    if (Enti_Retry(entry, now, job, task, code)) {
+        return;
+    }
     if ((job->flags & both) != both || job->unknowns >= ENT_MAX_UNKNOWN) {
         fail_job(entry, job, task, code);
         return;
@@ -141,7 +144,8 @@
     if (result->code == CODE_UNHEALTHY) {
         agent->suspect = 1;
     }
-    else if (result->code != CODE_NO_SLOT) {
+    else if (result->code != CODE_NO_SLOT && result->code != CODE_NO_ROOM &&
+             result->code != CODE_STALE_START) {
         agent->leaving = 1;
     }
 }
@@ -164,6 +168,9 @@
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
+        if (Enti_Retry(entry, now, job, task, result->code)) {
+            break;
+        }
         if (Code_Run(result->code) == CODE_UNKNOWN) {
             on_unknown(entry, now, job, task, result->code);
         }
@@ -198,6 +205,7 @@
 {
     agent->others =
         result->busy > result->mine ? result->busy - result->mine : 0;
+    Enti_NoteUsed(agent, &result->used, &result->mine_used);
 }
 
 /* An agent that is stopping waits until its outcomes are safe here. */
@@ -259,7 +267,7 @@
 void
 Enti_AskAgain(struct entry *entry, struct now now, uint64_t agent)
 {
-    uint64_t resend_us = now.us + BEAT_INTERVAL_US;
+    uint64_t resend_us = now.us + entry->settings.timing.beat_us;
     for (uint32_t i = 0; i < entry->open_jobs; i++) {
         struct ent_job *job = entry->open[i];
         for (uint32_t j = 0; j < job->task_count; j++) {
@@ -275,14 +283,19 @@
 
 static void
 lose_job_tasks(struct entry *entry, struct now now, struct ent_job *job,
-               uint64_t agent)
+               const struct ent_peer *agent)
 {
     for (uint32_t i = 0; i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
         if (job->state != ENT_JOB_OPEN) {
             return;
         }
-        if (task->state != ENT_SENT || task->agent != agent) {
+        if (task->state != ENT_SENT ||
+            task->agent != agent->member.incarnation) {
+            continue;
+        }
+        if (Enti_IsRestartable(job)) {
+            Enti_LoseRun(entry, now, job, task, agent);
             continue;
         }
         on_unknown(entry, now, job, task, CODE_OUTCOME_UNKNOWN);
@@ -292,15 +305,15 @@
 void
 Enti_LoseAgent(struct entry *entry, struct now now, struct ent_peer *agent)
 {
-    uint64_t incarnation = agent->member.incarnation;
     struct ent_service *service = agent->service;
     agent->leaving = 1;
     for (uint32_t i = entry->open_jobs; i-- > 0;) {
         if (i < entry->open_jobs && entry->open[i]->state == ENT_JOB_OPEN) {
-            lose_job_tasks(entry, now, entry->open[i], incarnation);
+            lose_job_tasks(entry, now, entry->open[i], agent);
         }
     }
     agent->outstanding = 0;
+    agent->used = (struct resources){0, 0, 0};
     agent->calls = 0;
     if (service && service->waiting) {
         Enti_Place(entry, now, service);
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -59,7 +59,7 @@
 
 /* Whose it is, and how long its tasks should run. */
 static void
-expect(struct entry *entry, struct ent_job *job)
+expect(struct entry *entry, struct ent_job *job, const struct submission *sub)
 {
     uint64_t sum_us = 0;
     job->share = Enti_Share(entry, job->service_name, job->team);
@@ -71,6 +71,11 @@
         job->longest_us = us > job->longest_us ? us : job->longest_us;
     }
     job->task_us = job->task_count ? sum_us / job->task_count : 0;
+    if (sub->stretch_percent) {
+        job->objective_us = job->submitted_us +
+                            job->longest_us * sub->stretch_percent / 100 +
+                            sub->target_ms * US_PER_MS;
+    }
 }
 
 static void
@@ -88,7 +93,7 @@
         Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
         return;
     }
-    expect(entry, job);
+    expect(entry, job, sub);
     Enti_AddWaiter(job, from, conn);
     if (fresh) {
         Enti_OpenJob(entry, now, job);
@@ -127,7 +132,9 @@
 Enti_Submit(struct entry *entry, struct now now, uint64_t from, conn_id conn,
             const struct submission *sub)
 {
-    struct ent_job *job = Enti_FindJob(entry, &sub->key);
+    struct ent_job *job = sub->flags & SUB_RESTART
+                              ? Enti_FindNamed(entry, sub->name)
+                              : Enti_FindJob(entry, &sub->key);
     if (job && job->state != ENT_JOB_HELD) {
         meet_job(entry, now, job, from, conn, sub);
         return;
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,10 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapter.h"
 #include "agent_config.h"
 #include "base/log.h"
 #include "call.h"
 #include "daemon.h"
+#include "orders.h"
 #include "core/agent.h"
 #include "shell/api.h"
 #include "shell/httpc.h"
@@ -25,7 +27,8 @@
     struct loop loop;
     struct links links;
     struct httpd httpd;
-    struct calls calls;
+    struct calls calls;   /* An upstream that is called. */
+    struct orders orders; /* An upstream that is given orders. */
     struct store store;
     struct registry registry;
     struct agent core;
@@ -80,10 +83,20 @@
         Link_Close(&daemon->links, act->u.link.peer);
         break;
     case ACT_RUN:
-        run_task(daemon, &act->u.run);
+        if (Adapter_IsOn(daemon->settings)) {
+            Orders_Run(&daemon->orders, &act->u.run);
+        }
+        else {
+            run_task(daemon, &act->u.run);
+        }
         break;
     case ACT_STOP:
-        Call_Stop(&daemon->calls, act->u.stop.task);
+        if (Adapter_IsOn(daemon->settings)) {
+            Orders_Stop(&daemon->orders, act->u.stop.task);
+        }
+        else {
+            Call_Stop(&daemon->calls, act->u.stop.task);
+        }
         break;
     case ACT_REPLY:
         break;
@@ -101,6 +114,13 @@
     Ag_OnMessage(&daemon->core, Loop_Now(), head, msg);
 }
 
+static void
+on_stranger(void *context, const struct frame_head *head)
+{
+    struct agent_daemon *daemon = context;
+    Ag_OnStranger(&daemon->core, Loop_Now(), head);
+}
+
 static void
 reply_error(struct agent_daemon *daemon, conn_id conn, enum code code,
             const char *detail)
@@ -190,6 +210,13 @@
     struct agent_daemon *daemon = context;
     struct now now = Loop_Now();
     Reg_Step(&daemon->registry);
+    if (Adapter_IsOn(daemon->settings)) {
+        if (now.us >= daemon->next_verify_us) {
+            daemon->next_verify_us = now.us + KEEP_ROW_US;
+            Reg_Verify(&daemon->registry);
+        }
+        return;
+    }
     /* Entries tell an agent nothing once its row is gone. */
     if (Ag_IsFresh(&daemon->core, now)) {
         daemon->next_verify_us = now.us + VERIFY_US;
@@ -234,6 +261,12 @@
     struct agent_daemon *daemon = context;
     struct now now = Loop_Now();
     Ag_OnTick(&daemon->core, now);
+    if (Adapter_IsOn(daemon->settings)) {
+        Orders_OnTick(&daemon->orders, now);
+    }
+    if (Stop_TakeReload()) {
+        LOG_INFO("agent", "SIGHUP: settings are read at the next start.");
+    }
     AgentConfig_OnTick(&daemon->config, now);
     check_stop(daemon, now);
 }
@@ -252,14 +285,14 @@
     const struct settings *settings = daemon->settings;
     struct act_sink sink = {emit, daemon};
     struct frame_head head;
-    uint64_t incarnation;
-    randombytes_buf(&incarnation, sizeof(incarnation));
+    uint64_t incarnation = Adapter_DrawIncarnation();
     struct ag_settings core = {
         .incarnation = incarnation,
         .task_capacity = (uint32_t)settings->task_capacity,
         .key_lifetime_s = (uint32_t)settings->key_lifetime_s,
-        .check_fresh = 1,
+        .check_fresh = !Adapter_IsOn(settings),
     };
+    Adapter_Timing(settings, &core.timing);
     daemon->config.settings = settings;
     daemon->config.core = &daemon->core;
     daemon->config.counters = &daemon->counters;
@@ -273,7 +306,7 @@
                   &head, &daemon->secret, on_message, daemon,
                   &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
-                   &daemon->counters, err) ||
+                   Adapter_Dialect(settings), &daemon->counters, err) ||
         Call_Init(&daemon->calls, &daemon->loop, on_task_end, daemon,
                   &daemon->counters, err) ||
         Hs_Init(&daemon->httpd, &daemon->loop, settings->listen_http, NULL,
@@ -282,6 +315,14 @@
     }
     Reg_Init(&daemon->registry, &daemon->store, settings, incarnation,
              on_registered, daemon);
+    daemon->registry.keep = Adapter_IsOn(settings);
+    if (Adapter_IsOn(settings)) {
+        daemon->links.stranger = on_stranger;
+        if (Orders_Init(&daemon->orders, &daemon->loop, settings,
+                        &daemon->core, &daemon->counters, err)) {
+            return -1;
+        }
+    }
     Loop_OnFlush(&daemon->loop, on_flush, daemon);
     if (Loop_Every(&daemon->loop, &daemon->tick, TICK_US, on_tick, daemon) ||
         Loop_Every(&daemon->loop, &daemon->poll, POLL_US / 4, on_poll,
@@ -309,6 +350,9 @@
     Loop_Finish(&daemon.loop);
     Hs_Finish(&daemon.httpd);
     Call_Finish(&daemon.calls);
+    if (Adapter_IsOn(settings)) {
+        Orders_Finish(&daemon.orders);
+    }
     Store_Finish(&daemon.store);
     Ag_Finish(&daemon.core);
     return 0;
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -19,6 +19,7 @@
 void
 Control_Finish(struct control *control)
 {
+    Route_Finish(&control->routes);
     json_decref(control->rows);
     free(control->whole);
     free(control->diff);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -5,6 +5,7 @@
 #define CONTROL_H
 
 #include "core/entry.h"
+#include "core/route.h"
 #include "shell/config_json.h"
 #include "shell/httpd.h"
 #include "shell/link.h"
@@ -62,6 +63,7 @@
     uint64_t rows_us; /**< When the last new row came in. */
     struct config config;
     struct config scratch;
+    struct route_table routes; /**< In force, with an adapter. */
     char *whole;
     char *diff;
     int64_t next_expiry_s;
@@ -107,6 +109,12 @@
 /** A change in the history, NULL when it is not there. */
 json_t *Rows_FindChange(const struct control *control, const char *id);
 
+/* routes.c */
+
+/** Read the routes' row. CODE_BAD_FIELD. */
+int Routes_Read(struct route_table *table, const json_t *root,
+                struct err *err);
+
 /* change.c */
 
 /** A free place for a change, NULL when too many are under way. */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -10,6 +10,11 @@
 
 /** Time between ticks of a role's state machine. */
 #define TICK_US 20000ull
+/** A process on the platform looks for its own row this often. */
+#define KEEP_ROW_US 2000000ull
+/** A stopping entry takes jobs in for this long: the balancer needs that to
+ * notice that it is not ready, two calls a second apart. */
+#define STOP_SERVE_US 3000000ull
 /** Time between reads of the table service. */
 #define POLL_US 1000000ull
 
@@ -29,6 +34,9 @@
 /** Count SIGTERM and SIGINT from now on. */
 void Stop_Init(void);
 
+/** True once after each SIGHUP. */
+int Stop_TakeReload(void);
+
 /** Course of a graceful stop; begins as zeros. */
 struct stop {
     uint64_t end_us;  /**< When it ends at the latest, 0 while not begun. */
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -4,9 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapter.h"
 #include "base/log.h"
 #include "control.h"
 #include "daemon.h"
+#include "ingress.h"
 #include "pages.h"
 #include "shell/api.h"
 #include "shell/httpd.h"
@@ -28,6 +30,9 @@
     int polling;
     uint64_t polled_us; /* When the read under way was sent. */
     struct control control;
+    struct ingress ingress;
+    uint64_t next_keep_us;
+    uint64_t drain_us; /* When new jobs are refused, 0 for not. */
     struct stop stop;
 };
 
@@ -67,6 +72,11 @@
 reply_answer(struct entry_daemon *daemon, conn_id conn,
              const struct answer *answer)
 {
+    if (Adapter_IsOn(daemon->settings) &&
+        Hs_IsOwn(&daemon->ingress.callers, conn)) {
+        Ingress_Reply(&daemon->ingress, conn, answer);
+        return;
+    }
     char key[KEY_TEXT_SIZE];
     Key_Format(&answer->key, &daemon->secret, key);
     AUTO_TEXT text = Api_WriteAnswer(answer, key);
@@ -110,6 +120,13 @@
     Ent_OnMessage(&daemon->core, Loop_Now(), head, msg);
 }
 
+static void
+on_stranger(void *context, const struct frame_head *head)
+{
+    struct entry_daemon *daemon = context;
+    Ent_OnStranger(&daemon->core, Loop_Now(), head);
+}
+
 static void
 on_sent(void *context, conn_id conn, const void *user)
 {
@@ -292,10 +309,33 @@
     }
 }
 
+static void
+on_followed(void *context, const struct store_result *result)
+{
+    struct entry_daemon *daemon = context;
+    Rows_OnRead(&daemon->control, result->body, Store_AskedUs(&daemon->store));
+}
+
+static void
+poll_platform(struct entry_daemon *daemon)
+{
+    struct now now = Loop_Now();
+    Reg_Step(&daemon->registry);
+    Store_OnTick(&daemon->store, now);
+    if (now.us >= daemon->next_keep_us) {
+        daemon->next_keep_us = now.us + KEEP_ROW_US;
+        Reg_Verify(&daemon->registry);
+    }
+}
+
 static void
 on_poll(void *context)
 {
     struct entry_daemon *daemon = context;
+    if (Adapter_IsOn(daemon->settings)) {
+        poll_platform(daemon);
+        return;
+    }
     if (!daemon->registry.registered) {
         Reg_Step(&daemon->registry);
     }
@@ -319,13 +359,19 @@
 check_stop(struct entry_daemon *daemon, struct now now)
 {
     switch (Stop_Step(&daemon->stop, now, daemon->core.conf.superseded,
-                      Ent_IsIdle(&daemon->core),
+                      Ent_IsIdle(&daemon->core) &&
+                          (!daemon->drain_us || daemon->core.draining),
                       daemon->settings->stop_limit_s)) {
     case STOP_NOTHING:
         break;
     case STOP_BEGIN:
         LOG_INFO("entry", "Stopping: no new keys, %u jobs to finish.",
                  daemon->core.open_jobs);
+        if (Adapter_IsOn(daemon->settings)) {
+            Ingress_Drain(&daemon->ingress, now.us + STOP_SERVE_US);
+            daemon->drain_us = now.us + STOP_SERVE_US;
+            break;
+        }
         Ent_Drain(&daemon->core, now);
         break;
     case STOP_END:
@@ -340,6 +386,13 @@
     struct entry_daemon *daemon = context;
     struct now now = Loop_Now();
     Ent_OnTick(&daemon->core, now);
+    if (daemon->drain_us && now.us >= daemon->drain_us &&
+        !daemon->core.draining) {
+        Ent_Drain(&daemon->core, now);
+    }
+    if (Stop_TakeReload()) {
+        LOG_INFO("entry", "SIGHUP: settings are read at the next start.");
+    }
     Control_OnTick(&daemon->control, now);
     check_stop(daemon, now);
 }
@@ -363,8 +416,10 @@
         .job_capacity = (uint32_t)daemon->settings->job_capacity,
         .peer_capacity = (uint32_t)daemon->settings->member_capacity,
         .key_lifetime_s = (uint32_t)daemon->settings->key_lifetime_s,
-        .check_fresh = 1,
+        .check_fresh = !Adapter_IsOn(daemon->settings),
+        .by_contact = (uint8_t)Adapter_IsOn(daemon->settings),
     };
+    Adapter_Timing(daemon->settings, &core.timing);
     memcpy(core.dc, daemon->settings->data_centre, sizeof(core.dc));
     randombytes_buf(core.seed, sizeof(core.seed));
     if (Ent_Init(&daemon->core, &core, Loop_Now(), sink, &daemon->counters)) {
@@ -398,8 +453,7 @@
         settings->tls_certificate[0] ? settings->tls_certificate : NULL;
     const char *key = settings->tls_key[0] ? settings->tls_key : NULL;
     struct frame_head head;
-    uint64_t incarnation;
-    randombytes_buf(&incarnation, sizeof(incarnation));
+    uint64_t incarnation = Adapter_DrawIncarnation();
     Key_Derive(&daemon->secret, settings->cluster_key);
     Head_Fill(&head, settings, ROLE_ENTRY, incarnation);
     if (start_core(daemon, incarnation, err) ||
@@ -408,7 +462,7 @@
                   &head, &daemon->secret, on_message, daemon,
                   &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
-                   &daemon->counters, err) ||
+                   Adapter_Dialect(settings), &daemon->counters, err) ||
         Hs_Init(&daemon->httpd, &daemon->loop, settings->listen_http, cert,
                 key, on_request, on_sent, daemon, &daemon->counters, err)) {
         return -1;
@@ -418,6 +472,15 @@
     if (start_control(daemon, err)) {
         return -1;
     }
+    daemon->registry.keep = Adapter_IsOn(settings);
+    if (Adapter_IsOn(settings)) {
+        daemon->links.stranger = on_stranger;
+        if (Ingress_Init(&daemon->ingress, &daemon->loop, &daemon->control,
+                         err)) {
+            return -1;
+        }
+        Store_Follow(&daemon->store, on_followed, daemon);
+    }
     Loop_OnFlush(&daemon->loop, on_flush, daemon);
     if (Loop_Every(&daemon->loop, &daemon->tick, TICK_US, on_tick, daemon) ||
         Loop_Every(&daemon->loop, &daemon->poll, POLL_US / 4, on_poll,
@@ -443,6 +506,9 @@
     Link_Finish(&daemon.links);
     Loop_Finish(&daemon.loop);
     Hs_Finish(&daemon.httpd);
+    if (Adapter_IsOn(settings)) {
+        Ingress_Finish(&daemon.ingress);
+    }
     Store_Finish(&daemon.store);
     Ent_Finish(&daemon.core);
     Control_Finish(&daemon.control);
--- /dev/null
+++ b/daemon/ingress.c
@@ -0,0 +1,258 @@
+#include "ingress.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "adapter.h"
+#include "base/log.h"
+#include "platform/ingress.h"
+
+/* Tags of the servers' connections. */
+#define TAG_CALLERS 1
+#define TAG_READINESS 2
+/* What a caller is told to wait when this entry cannot take jobs in. */
+#define RETRY_MS 1000
+
+/* What is kept with a connection while its job runs. */
+struct waiting {
+    struct key key;
+    uint64_t name;
+};
+
+static int
+is_usable(const struct ingress *ingress, struct now now)
+{
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    while ((peer = Tab_Next(&ingress->core->peers, &slot))) {
+        if (peer->member.role == ROLE_AGENT && peer->service &&
+            now.us - peer->heard_us <
+                ingress->core->settings.timing.silent_us) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+on_readiness(void *context, const struct hs_request *request)
+{
+    struct ingress *ingress = context;
+    int ready = !ingress->is_stopping && ingress->control->routes.version &&
+                is_usable(ingress, Loop_Now());
+    int known = Pf_IsReadinessPath(request->path);
+    Hs_ReplyJson(&ingress->readiness, request->conn,
+                 !known  ? 404
+                 : ready ? 200
+                         : 503,
+                 "{}");
+}
+
+static void
+reply(struct ingress *ingress, conn_id conn, const struct pf_answer *answer)
+{
+    struct hs_reply http = {
+        .status = answer->status,
+        .type = "application/json",
+        .body = {answer->body, (uint32_t)strlen(answer->body)},
+        .retry_after_s = (answer->retry_after_ms + 999) / 1000,
+    };
+    if (Hs_Reply(&ingress->callers, conn, &http)) {
+        CTR_INC(ingress->counters, answers_late);
+    }
+}
+
+static void
+refuse(struct ingress *ingress, const struct hs_request *request,
+       enum code code, const char *detail)
+{
+    struct pf_answer answer;
+    uint32_t retry_ms = Code_HttpStatus(code) == 503 ? RETRY_MS : 0;
+    Ctr_Code(ingress->counters, code);
+    Pf_WriteRefusal(&answer, code, retry_ms);
+    LOG_INFO("callers",
+             "Request refused. path=%.64s host=%.48s code=%s status=%d "
+             "version=%" PRIu64 " detail=\"%.80s\"",
+             request->path, request->host, Code_Name(code), answer.status,
+             ingress->control->routes.version, detail);
+    reply(ingress, request->conn, &answer);
+}
+
+static void
+fill(struct submission *sub, const struct route *route, uint64_t name,
+     uint32_t deadline_ms)
+{
+    memcpy(sub->service, route->service, sizeof(sub->service));
+    memcpy(sub->kind, route->name, sizeof(sub->kind));
+    sub->name = name;
+    sub->deadline_ms = deadline_ms;
+    sub->priority = route->priority < PRIO_COUNT
+                        ? (enum priority)route->priority
+                        : PRIO_BULK;
+    sub->flags = SUB_RESTART;
+    sub->max_attempts = route->max_attempts;
+    sub->target_ms = route->target_ms;
+    sub->stretch_percent = route->stretch_percent;
+}
+
+static void
+submit(struct ingress *ingress, const struct hs_request *request,
+       const struct route *route, uint64_t name)
+{
+    struct now now = Loop_Now();
+    struct err err = {0};
+    struct pf_job job;
+    struct waiting waiting = {.name = name};
+    if (Pf_ReadJob(&job, request->body, &err)) {
+        refuse(ingress, request, err.code, err.text);
+        return;
+    }
+    enum code code = CODE_OK;
+    if (job.is_kept || job.step_count > 1) {
+        code = CODE_NOT_SERVED;
+    }
+    else if (ingress->closing_us && now.us >= ingress->closing_us) {
+        code = CODE_DRAINING;
+    }
+    else {
+        code = Ent_IssueKeys(ingress->core, now, 1, &job.sub.key);
+    }
+    if (code != CODE_OK) {
+        refuse(ingress, request, code, "");
+        Pf_FreeJob(&job);
+        return;
+    }
+    fill(&job.sub, route, name, Pf_ReadDeadline(request->extra, route));
+    waiting.key = job.sub.key;
+    Hs_SetUser(&ingress->callers, request->conn, &waiting, sizeof(waiting));
+    LOG_INFO("callers",
+             "Job came in. job=%016" PRIx64 " route=%s tasks=%u cpu=%u "
+             "estimate_ms=%u deadline_ms=%u routes_version=%" PRIu64,
+             name, route->name, job.sub.task_count, job.sub.need.cpu,
+             job.tasks[0].run_ms, job.sub.deadline_ms,
+             ingress->control->routes.version);
+    Ent_OnSubmit(ingress->core, now, request->conn, &job.sub);
+    Pf_FreeJob(&job);
+}
+
+static void
+cancel(struct ingress *ingress, const struct hs_request *request,
+       uint64_t name)
+{
+    struct pf_answer answer;
+    int is_open = Ent_CancelNamed(ingress->core, Loop_Now(), name);
+    Pf_WriteState(&answer, is_open, 1);
+    reply(ingress, request->conn, &answer);
+}
+
+static void
+show_job(struct ingress *ingress, const struct hs_request *request,
+         uint64_t name)
+{
+    struct pf_answer answer;
+    int is_running = 0;
+    int is_open = Ent_LookNamed(ingress->core, name, &is_running);
+    Pf_WriteState(&answer, is_open, is_running);
+    reply(ingress, request->conn, &answer);
+}
+
+static void
+show_queue(struct ingress *ingress, const struct hs_request *request,
+           const struct route *route)
+{
+    struct pf_answer answer;
+    Pf_WriteWaiting(&answer, Ent_CountWaiting(ingress->core, route->name));
+    reply(ingress, request->conn, &answer);
+}
+
+static void
+on_caller(void *context, const struct hs_request *request)
+{
+    struct ingress *ingress = context;
+    const struct route_table *routes = &ingress->control->routes;
+    struct pf_path path;
+    if (routes->version == 0) {
+        refuse(ingress, request, CODE_NOT_FRESH, "no configuration yet");
+        return;
+    }
+    const struct route *route =
+        Route_Find(routes, request->host, request->path);
+    if (!route) {
+        refuse(ingress, request, CODE_NO_ROUTE, "");
+        return;
+    }
+    Pf_ReadPath(&path, route, request->path);
+    if (path.target == PF_JOB && request->method == HS_POST) {
+        submit(ingress, request, route, path.name);
+    }
+    else if (path.target == PF_JOB && request->method == HS_GET) {
+        show_job(ingress, request, path.name);
+    }
+    else if (path.target == PF_JOB && request->method == HS_DELETE) {
+        cancel(ingress, request, path.name);
+    }
+    else if (path.target == PF_QUEUE && request->method == HS_GET) {
+        show_queue(ingress, request, route);
+    }
+    else {
+        refuse(ingress, request, CODE_NO_SUCH_PATH, "");
+    }
+}
+
+static void
+on_gone(void *context, conn_id conn, const void *user)
+{
+    struct ingress *ingress = context;
+    struct waiting waiting;
+    memcpy(&waiting, user, sizeof(waiting));
+    if (waiting.name) {
+        LOG_INFO("callers", "Caller left. job=%016" PRIx64, waiting.name);
+        Ent_OnCallerGone(ingress->core, Loop_Now(), conn, &waiting.key);
+    }
+}
+
+int
+Ingress_Init(struct ingress *ingress, struct loop *loop,
+             struct control *control, struct err *err)
+{
+    const struct settings *settings = control->settings;
+    memset(ingress, 0, sizeof(*ingress));
+    ingress->control = control;
+    ingress->core = control->core;
+    ingress->counters = control->counters;
+    if (Hs_Init(&ingress->callers, loop, settings->listen_callers, NULL, NULL,
+                on_caller, NULL, ingress, control->counters, err) ||
+        Hs_Init(&ingress->readiness, loop, settings->listen_readiness, NULL,
+                NULL, on_readiness, NULL, ingress, control->counters, err)) {
+        return -1;
+    }
+    ingress->callers.tag = TAG_CALLERS;
+    ingress->callers.extra = pf_deadline_header;
+    ingress->callers.gone = on_gone;
+    ingress->readiness.tag = TAG_READINESS;
+    return 0;
+}
+
+void
+Ingress_Finish(struct ingress *ingress)
+{
+    Hs_Finish(&ingress->callers);
+    Hs_Finish(&ingress->readiness);
+}
+
+void
+Ingress_Reply(struct ingress *ingress, conn_id conn,
+              const struct answer *answer)
+{
+    struct pf_answer out;
+    Pf_WriteAnswer(&out, answer->code, answer->retry_after_ms);
+    reply(ingress, conn, &out);
+}
+
+void
+Ingress_Drain(struct ingress *ingress, uint64_t until_us)
+{
+    ingress->is_stopping = 1;
+    ingress->closing_us = until_us;
+    ingress->callers.is_closing = 1;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -2,6 +2,7 @@
 #include <getopt.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -9,10 +10,13 @@
 
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
+/* Names the settings file when the command line does not. */
+#define FILE_VARIABLE "JACINTHPICK_CONFIG"
 
 static const char usage[] =
-    "Usage: jacinthpickd [OPTION]... FILE\n"
-    "Run an entry or an agent, as the settings in FILE say.\n"
+    "Usage: jacinthpickd [OPTION]... [FILE]\n"
+    "Run an entry or an agent, as the settings in FILE say; without it, in\n"
+    "the file that JACINTHPICK_CONFIG names.\n"
     "\n"
     "  -c, --check      check the settings and exit\n"
     "  -s, --settings   list all settings: name, allowed, default, meaning\n"
@@ -72,16 +76,17 @@
             return EXIT_USAGE;
         }
     }
-    if (optind + 1 != argc) {
+    const char *file = optind < argc ? argv[optind] : getenv(FILE_VARIABLE);
+    if (optind + 1 < argc || !file) {
         fputs(usage, stderr);
         return EXIT_USAGE;
     }
-    if (Set_Load(&settings, argv[optind], &err)) {
-        fprintf(stderr, "jacinthpickd: %s: %s\n", argv[optind], err.text);
+    if (Set_Load(&settings, file, &err)) {
+        fprintf(stderr, "jacinthpickd: %s: %s\n", file, err.text);
         return EXIT_SETTINGS;
     }
     if (check) {
-        printf("%s: settings are valid\n", argv[optind]);
+        printf("%s: settings are valid\n", file);
         return 0;
     }
     if (sodium_init() < 0) {
--- /dev/null
+++ b/daemon/orders.c
@@ -0,0 +1,279 @@
+#include "orders.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "shell/settings.h"
+
+/* Connections to the upstream. */
+#define ORDER_LANES 48
+/* An order that is not answered within this may be carried out later. */
+#define ORDER_TIMEOUT_MS 100
+/* Time beyond the wait asked for that the answer to a question may take. */
+#define LOOK_TIMEOUT_MS 200
+
+/* An order under way. */
+struct order_call {
+    struct orders *orders;
+    enum rn_act_type type;
+    tab_handle run;
+    uint32_t look;
+    struct rn_id id;
+};
+
+static const char *
+reply_name(enum rn_reply reply)
+{
+    static const char *const names[] = {
+        "done",    "no-answer", "unreached", "old-number",     "late",
+        "no-room", "fenced",    "not-now",   "not-understood", "other-life",
+    };
+    return names[reply];
+}
+
+static void
+on_view(struct order_call *call, const struct hc_result *http)
+{
+    static struct rn_view view;
+    enum rn_reply reply =
+        Pf_ReadView(http->status, http->sent, http->body, &view);
+    if (reply != RN_DONE) {
+        LOG_WARN("upstream", "Question not answered. reply=%s status=%d",
+                 reply_name(reply), http->status);
+    }
+    Rn_OnLook(&call->orders->runner, Loop_Now(), call->look, reply, &view);
+}
+
+static void
+on_reply(void *context, const struct hc_result *http)
+{
+    struct order_call *call = context;
+    struct runner *runner = &call->orders->runner;
+    uint64_t clock_ms;
+    if (call->type == RN_LOOK) {
+        on_view(call, http);
+        free(call);
+        return;
+    }
+    enum rn_reply reply =
+        Pf_ReadReply(http->status, http->sent, http->body, &clock_ms);
+    if (reply != RN_DONE) {
+        LOG_WARN("upstream",
+                 "Order not done. order=%s job=%016" PRIx64
+                 " task=%u run=%u reply=%s status=%d",
+                 call->type == RN_START ? "start" : "stop", call->id.job,
+                 call->id.task, call->id.number, reply_name(reply),
+                 http->status);
+    }
+    if (call->type == RN_START) {
+        Rn_OnStarted(runner, Loop_Now(), call->run, reply, clock_ms);
+    }
+    else {
+        Rn_OnStopped(runner, Loop_Now(), call->run, reply, clock_ms);
+    }
+    free(call);
+}
+
+static void
+send_order(struct orders *orders, const struct rn_act *act)
+{
+    struct hc_result unsent = {0};
+    struct pf_order order;
+    struct order_call *call = calloc(1, sizeof(*call));
+    if (!call || Pf_WriteOrder(&order, act)) {
+        abort();
+    }
+    call->orders = orders;
+    call->type = act->type;
+    call->run = act->run;
+    call->look = act->look;
+    call->id = act->id;
+    struct hc_call http = {
+        .addr = orders->address,
+        .method = "POST",
+        .path = order.path,
+        .body = {order.body, (uint32_t)strlen(order.body)},
+        .extra_name = pf_life_header,
+        .extra = orders->beat.id,
+        .timeout_ms = act->type == RN_LOOK ? act->wait_ms + LOOK_TIMEOUT_MS
+                                           : ORDER_TIMEOUT_MS,
+        .done = on_reply,
+        .context = call,
+    };
+    if (Hc_Call(&orders->http, &http)) {
+        CTR_INC(orders->counters, actions_dropped);
+        on_reply(call, &unsent);
+    }
+    free(order.body);
+}
+
+static void
+on_end(struct orders *orders, const struct rn_act *act)
+{
+    struct bytes none = {NULL, 0};
+    LOG_INFO("upstream",
+             "Run ended. job=%016" PRIx64 " task=%u run=%u code=%s run_us=%u",
+             act->id.job, act->id.task, act->id.number, Code_Name(act->code),
+             act->run_us);
+    Ag_OnTaskEnd(orders->core, Loop_Now(), act->task, act->code, none,
+                 act->run_us);
+}
+
+static void
+emit(void *context, const struct rn_act *act)
+{
+    struct orders *orders = context;
+    switch (act->type) {
+    case RN_START:
+    case RN_STOP:
+    case RN_LOOK:
+        send_order(orders, act);
+        break;
+    case RN_END:
+        on_end(orders, act);
+        break;
+    case RN_READY:
+        LOG_INFO("upstream",
+                 "Usable. id=%s born_ms=%" PRIu64 " fence=%" PRIu64 " cpu=%u",
+                 orders->beat.id, orders->runner.born_ms, orders->runner.fence,
+                 orders->beat.offer.capacity.cpu);
+        Ag_OnAnnounce(orders->core, Loop_Now(), &orders->beat.offer);
+        Ag_TellAll(orders->core);
+        break;
+    case RN_GONE:
+        LOG_WARN("upstream", "Not usable. id=%s born_ms=%" PRIu64,
+                 orders->beat.id, orders->runner.born_ms);
+        Ag_OnUpstreamGone(orders->core, Loop_Now());
+        break;
+    }
+}
+
+static int
+is_older(const struct orders *orders, const struct pf_beat *beat)
+{
+    const struct pf_beat *known = &orders->beat;
+    return orders->is_known && (beat->born_ms < known->born_ms ||
+                                (beat->born_ms == known->born_ms &&
+                                 beat->sequence < known->sequence));
+}
+
+/* One that comes late speaks of the past: it is acknowledged and dropped. */
+static void
+take_beat(struct orders *orders, const struct pf_beat *beat)
+{
+    struct now now = Loop_Now();
+    int was_leaving = orders->beat.offer.leaving;
+    if (is_older(orders, beat)) {
+        CTR_INC(orders->counters, beats_old);
+        return;
+    }
+    if (beat->offer.leaving && !was_leaving) {
+        LOG_INFO("upstream", "It is leaving. id=%s", beat->id);
+    }
+    orders->beat = *beat;
+    orders->is_known = 1;
+    memcpy(orders->address, beat->address, sizeof(orders->address));
+    Rn_OnAnnounce(&orders->runner, now, beat->born_ms, beat->clock_ms);
+    if (Rn_IsUsable(&orders->runner)) {
+        Ag_OnAnnounce(orders->core, now, &beat->offer);
+        if (beat->offer.leaving && !was_leaving) {
+            Ag_TellAll(orders->core);
+        }
+    }
+}
+
+static void
+leave(struct orders *orders, const char *id)
+{
+    if (orders->is_known && strcmp(id, orders->beat.id) == 0) {
+        LOG_INFO("upstream", "It has left. id=%s", id);
+        Ag_OnUpstreamGone(orders->core, Loop_Now());
+    }
+}
+
+static void
+on_request(void *context, const struct hs_request *request)
+{
+    struct orders *orders = context;
+    struct pf_beat beat = {0};
+    struct err err = {0};
+    int status = 200;
+    char id[PF_ID_SIZE];
+    switch (Pf_ReadUpstreamPath(request->path, id, sizeof(id))) {
+    case PF_BEAT:
+        memcpy(beat.id, id, sizeof(beat.id));
+        if (Pf_ReadBeat(&beat, request->body, &err)) {
+            CTR_INC(orders->counters, beats_bad);
+            LOG_WARN("upstream", "Heartbeat kept out. id=%.64s fault=\"%s\"",
+                     id, err.text);
+            status = 400;
+            break;
+        }
+        take_beat(orders, &beat);
+        break;
+    case PF_LEAVE:
+        leave(orders, id);
+        break;
+    case PF_NO_CALL:
+        status = 404;
+        break;
+    }
+    Hs_ReplyJson(&orders->httpd, request->conn, status, "{}");
+}
+
+int
+Orders_Init(struct orders *orders, struct loop *loop,
+            const struct settings *settings, struct agent *core,
+            struct counters *counters, struct err *err)
+{
+    struct rn_sink sink = {emit, orders};
+    memset(orders, 0, sizeof(*orders));
+    orders->settings = settings;
+    orders->core = core;
+    orders->counters = counters;
+    if (Rn_Init(&orders->runner,
+                (uint64_t)settings->upstream_lease_ms * US_PER_MS, sink,
+                counters)) {
+        return Err_Set(err, CODE_NO_MEMORY, "no memory for runs");
+    }
+    if (Hc_Init(&orders->http, loop, ORDER_LANES, err) ||
+        Hs_Init(&orders->httpd, loop, settings->listen_upstream, NULL, NULL,
+                on_request, NULL, orders, counters, err)) {
+        return -1;
+    }
+    return 0;
+}
+
+void
+Orders_Finish(struct orders *orders)
+{
+    Hs_Finish(&orders->httpd);
+    Hc_Finish(&orders->http);
+    Rn_Finish(&orders->runner);
+}
+
+void
+Orders_Run(struct orders *orders, const struct act_run *run)
+{
+    LOG_INFO("upstream",
+             "Run ordered. job=%016" PRIx64 " task=%u attempt=%u cpu=%u "
+             "used_cpu=%u capacity_cpu=%u",
+             run->start->name, run->start->task, run->start->attempt,
+             run->start->need.cpu, orders->core->used.cpu,
+             orders->core->upstream.capacity.cpu);
+    Rn_Start(&orders->runner, Loop_Now(), run->task, run->start);
+}
+
+void
+Orders_Stop(struct orders *orders, tab_handle task)
+{
+    Rn_Stop(&orders->runner, Loop_Now(), task);
+}
+
+void
+Orders_OnTick(struct orders *orders, struct now now)
+{
+    Rn_OnTick(&orders->runner, now);
+}
--- /dev/null
+++ b/daemon/orders.h
@@ -0,0 +1,43 @@
+/** @file
+ * An upstream that takes orders: its heartbeats, the orders of the runner and
+ * their replies. */
+#ifndef DAEMON_ORDERS_H
+#define DAEMON_ORDERS_H
+
+#include "core/agent.h"
+#include "core/runner.h"
+#include "platform/upstream.h"
+#include "shell/httpc.h"
+#include "shell/httpd.h"
+
+/** Orders to one upstream. */
+struct orders {
+    const struct settings *settings;
+    struct agent *core;
+    struct counters *counters;
+    struct httpd httpd;
+    struct httpc http;
+    struct runner runner;
+    struct pf_beat beat; /**< The latest. */
+    char address[WIRE_ADDR_SIZE];
+    int is_known; /**< A heartbeat has come. */
+};
+
+/** Listen for the upstream and make the client. */
+int Orders_Init(struct orders *orders, struct loop *loop,
+                const struct settings *settings, struct agent *core,
+                struct counters *counters, struct err *err);
+
+/** Free it, after the loop. */
+void Orders_Finish(struct orders *orders);
+
+/** Run a task. */
+void Orders_Run(struct orders *orders, const struct act_run *run);
+
+/** Stop a task. */
+void Orders_Stop(struct orders *orders, tab_handle task);
+
+/** Time has passed. */
+void Orders_OnTick(struct orders *orders, struct now now);
+
+#endif
--- /dev/null
+++ b/daemon/routes.c
@@ -0,0 +1,70 @@
+/* Routes as a row of the table service. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control.h"
+
+static uint32_t
+number_of(const json_t *root, const char *field)
+{
+    json_int_t number = json_integer_value(json_object_get(root, field));
+    return number > 0 && number <= UINT32_MAX ? (uint32_t)number : 0;
+}
+
+static int
+copy_text(char *out, size_t size, const json_t *root, const char *field)
+{
+    const json_t *text = json_object_get(root, field);
+    if (!json_is_string(text) || json_string_length(text) >= size) {
+        return -1;
+    }
+    memcpy(out, json_string_value(text), json_string_length(text) + 1);
+    return 0;
+}
+
+static int
+read_route(struct route *route, const json_t *root)
+{
+    if (copy_text(route->name, sizeof(route->name), root, "name") ||
+        copy_text(route->host, sizeof(route->host), root, "host") ||
+        copy_text(route->prefix, sizeof(route->prefix), root, "prefix") ||
+        copy_text(route->service, sizeof(route->service), root, "service")) {
+        return -1;
+    }
+    route->timeout_ms = number_of(root, "timeout_ms");
+    route->target_ms = number_of(root, "target_ms");
+    route->stretch_percent = number_of(root, "stretch_percent");
+    route->max_attempts = number_of(root, "max_attempts");
+    route->priority = number_of(root, "priority");
+    return 0;
+}
+
+int
+Routes_Read(struct route_table *table, const json_t *root, struct err *err)
+{
+    size_t i;
+    const json_t *item;
+    const json_t *list = json_object_get(root, "routes");
+    size_t count = json_array_size(list);
+    Route_Init(table);
+    if (!json_is_array(list) || count > ROUTE_MAX) {
+        return Err_Set(err, CODE_BAD_FIELD, "routes: up to %d are allowed",
+                       ROUTE_MAX);
+    }
+    table->items = calloc(count + 1, sizeof(*table->items));
+    if (!table->items) {
+        return Err_Set(err, CODE_NO_MEMORY, "no memory for %zu routes", count);
+    }
+    json_array_foreach(list, i, item)
+    {
+        if (read_route(&table->items[i], item)) {
+            Route_Finish(table);
+            return Err_Set(err, CODE_BAD_FIELD, "routes[%zu]: not a route", i);
+        }
+    }
+    table->count = (uint32_t)count;
+    table->version =
+        (uint64_t)json_integer_value(json_object_get(root, "version"));
+    table->max_body = number_of(root, "max_body");
+    return 0;
+}
--- a/daemon/rows.c
+++ b/daemon/rows.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapter.h"
 #include "base/log.h"
 #include "control.h"
 
@@ -49,7 +50,8 @@
           const struct ent_member *member, uint64_t version)
 {
     const struct registry *registry = control->registry;
-    if (strcmp(node, control->settings->node) != 0 || !registry->registered ||
+    if (Adapter_IsOn(control->settings) ||
+        strcmp(node, control->settings->node) != 0 || !registry->registered ||
         version <= registry->registered ||
         (member && member->incarnation == registry->incarnation)) {
         return;
@@ -147,7 +149,23 @@
              control->config.last.author);
     Ent_OnConfig(control->core, Loop_Now(), &control->config,
                  as_bytes(control->whole), as_bytes(control->diff),
-                 is_announcing(control));
+                 Adapter_IsOn(control->settings) || is_announcing(control));
+}
+
+static void
+apply_routes(struct control *control)
+{
+    struct err err = {0};
+    struct route_table table;
+    if (Routes_Read(&table, Rows_Value(control, PF_ROW_ROUTES), &err)) {
+        CTR_INC(control->counters, config_corrupt);
+        LOG_ERROR("config", "The routes are not valid: %s.", err.text);
+        return;
+    }
+    Route_Finish(&control->routes);
+    control->routes = table;
+    LOG_INFO("config", "Routes in force. version=%llu routes=%u",
+             (unsigned long long)table.version, table.count);
 }
 
 /* Returns 1 when the row is newer than the known one. */
@@ -170,6 +188,7 @@
     size_t i;
     json_t *row;
     int has_config = 0;
+    int has_routes = 0;
     json_array_foreach(list, i, row)
     {
         const char *key = json_string_value(json_object_get(row, "key"));
@@ -181,6 +200,10 @@
             apply_member(control, row, key);
         }
         has_config |= strcmp(key, ROW_CONFIG) == 0;
+        has_routes |= strcmp(key, PF_ROW_ROUTES) == 0;
+    }
+    if (has_routes) {
+        apply_routes(control);
     }
     if (has_config) {
         apply_config(control);
@@ -204,7 +227,7 @@
         (uint64_t)json_integer_value(json_object_get(body, "version"));
     apply_rows(control, json_object_get(body, "rows"));
     note_up(control, now);
-    if (!control->registry->registered) {
+    if (!control->registry->registered && !Adapter_IsOn(control->settings)) {
         return;
     }
     /* An answer below what is known here was long on its way. */
@@ -224,7 +247,8 @@
     uint64_t since =
         (uint64_t)json_integer_value(json_object_get(root, "since"));
     if (head->role == ROLE_ENTRY && json_object_get(root, "since") &&
-        since <= control->core->version && control->core->version) {
+        since <= control->core->version &&
+        (control->core->version || Adapter_IsOn(control->settings))) {
         apply_rows(control, json_object_get(root, "rows"));
         Ent_OnVersion(control->core, Loop_Now(), state->version);
         Ent_Acknowledge(control->core, Loop_Now(), head->from);
@@ -277,7 +301,9 @@
     }
     while ((peer = Tab_Next(&control->core->peers, &slot))) {
         int due = at_once || now.us - peer->push_us >= RELAY_DELAY_US;
-        if (peer->member.role == ROLE_ENTRY && peer->members != 0 &&
+        int may_lag = peer->members != 0 ||
+                      (Adapter_IsOn(control->settings) && peer->ask_us != 0);
+        if (peer->member.role == ROLE_ENTRY && may_lag &&
             peer->members < control->core->version && due) {
             relay_to(control, peer, now);
         }
--- a/daemon/stop.c
+++ b/daemon/stop.c
@@ -5,6 +5,7 @@
 #include "daemon.h"
 
 static volatile sig_atomic_t stop_signals;
+static volatile sig_atomic_t reload_signals;
 
 static void
 on_signal(int number)
@@ -13,9 +14,26 @@
     stop_signals++;
 }
 
+static void
+on_reload(int number)
+{
+    (void)number;
+    reload_signals = 1;
+}
+
+int
+Stop_TakeReload(void)
+{
+    int wanted = reload_signals;
+    reload_signals = 0;
+    return wanted;
+}
+
 void
 Stop_Init(void)
 {
+    struct sigaction reload = {.sa_handler = on_reload};
+    sigaction(SIGHUP, &reload, NULL);
     struct sigaction action = {.sa_handler = on_signal};
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -29,6 +29,8 @@
     char query[HS_PATH_SIZE];
     char key[HS_HEADER_SIZE];   /**< Header Idempotency-Key, or "". */
     char token[HS_HEADER_SIZE]; /**< Bearer token, or "". */
+    char host[HS_HEADER_SIZE];  /**< Header Host, or "". */
+    char extra[HS_HEADER_SIZE]; /**< The server's extra header, or "". */
     struct bytes body;
 };
 
@@ -38,9 +40,19 @@
 /** Called when an answer has been written to its connection. */
 typedef void hs_sent(void *context, conn_id conn, const void *user);
 
+/** Called when a connection closes before its request was answered. */
+typedef void hs_gone(void *context, conn_id conn, const void *user);
+
 /** The server. */
 struct httpd {
     struct loop *loop;
+    char listen[HS_HEADER_SIZE]; /**< Address without the port. */
+    const char *extra; /**< Name of a header that is handed over, ending in
+                            ":"; NULL for none. */
+    uint32_t max_body; /**< Largest body, HS_MAX_BODY at first. */
+    int is_closing;    /**< Each answer closes its connection. */
+    uint32_t tag;      /**< Tells this server's connections from others'. */
+    hs_gone *gone;     /**< NULL for none. */
     struct lws_vhost *vhost;
     struct tab conns;
     hs_handler *handler;
@@ -63,6 +75,9 @@
             hs_sent *sent, void *context, struct counters *counters,
             struct err *err);
 
+/** True when a connection is one of this server's. */
+int Hs_IsOwn(const struct httpd *httpd, conn_id conn);
+
 /** Free it, after the loop. */
 void Hs_Finish(struct httpd *httpd);
 
--- a/shell/include/shell/link.h
+++ b/shell/include/shell/link.h
@@ -19,6 +19,9 @@
 typedef void link_visit(void *context, const struct frame_head *head,
                         const struct msg *msg);
 
+/** Called for a frame that was meant for an earlier process here. */
+typedef void link_stranger(void *context, const struct frame_head *head);
+
 /** A linked process. */
 struct link_peer {
     struct tab_row row;
@@ -42,6 +45,7 @@
     struct link_peer *index;
     struct link_peer *dirty; /**< List of those with a batch to send. */
     link_visit *visit;
+    link_stranger *stranger; /**< NULL for none. */
     void *context;
     struct counters *counters;
 };
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -21,6 +21,7 @@
     uint64_t row_version; /**< Of the row that the own one replaces. */
     uint64_t registered;  /**< Version of the own row, 0 before it. */
     int row_replaced;
+    int keep; /**< A row that is gone is written again. */
     int lost; /**< The own row was replaced or removed. */
     int verifying;
     int busy;
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -32,6 +32,12 @@
     char operator_token_hashes[SET_HASHES_SIZE];
     char log_level[WIRE_NAME_SIZE];
     char placement[WIRE_NAME_SIZE];
+    char adapter[WIRE_NAME_SIZE];          /**< "none" or "platform". */
+    char listen_callers[WIRE_ADDR_SIZE];   /**< Entry on the platform. */
+    char listen_readiness[WIRE_ADDR_SIZE]; /**< The same. */
+    char listen_upstream[WIRE_ADDR_SIZE];  /**< Agent on the platform. */
+    int64_t resubmit_ms;
+    int64_t upstream_lease_ms;
     int64_t key_lifetime_s;
     int64_t job_capacity;
     int64_t task_capacity;
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -26,6 +26,8 @@
     size_t body_size;
     char token[HS_HEADER_SIZE];
     char key[HS_HEADER_SIZE];
+    const char *extra_name;
+    char extra[HS_HEADER_SIZE];
     int status;
     int sent;
     unsigned char *reply;
@@ -115,6 +117,10 @@
             return -1;
         }
     }
+    if (lane->extra_name && lane->extra[0] &&
+        add_header(wsi, lane->extra_name, lane->extra, p, end)) {
+        return -1;
+    }
     if (lane->key[0] &&
         add_header(wsi, "idempotency-key:", lane->key, p, end)) {
         return -1;
@@ -235,8 +241,9 @@
     info.vhost_name = lane->name;
     info.protocols = protocols;
     info.timeout_secs = 30;
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
     if (tls) {
-        info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     }
     return lws_create_vhost(loop->lws, &info);
 }
@@ -276,6 +283,9 @@
     snprintf(lane->token, sizeof(lane->token), "%s",
              call->token ? call->token : "");
     snprintf(lane->key, sizeof(lane->key), "%s", call->key ? call->key : "");
+    lane->extra_name = call->extra_name;
+    snprintf(lane->extra, sizeof(lane->extra), "%s",
+             call->extra ? call->extra : "");
     lane->busy = 1;
     return 0;
 }
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -8,6 +8,9 @@
 
 #define MAX_CONNS 20000
 #define CONN_BIT (1ull << 63)
+/* Bits that tell the servers of a process apart. */
+#define TAG_SHIFT 60
+#define TAG_MASK (7ull << TAG_SHIFT)
 #define HEADER_ROOM 1024
 
 struct conn {
@@ -50,10 +53,19 @@
     return 0;
 }
 
+int
+Hs_IsOwn(const struct httpd *httpd, conn_id id)
+{
+    return (id & TAG_MASK) >> TAG_SHIFT == httpd->tag;
+}
+
 static struct conn *
 get_conn(const struct httpd *httpd, conn_id id)
 {
-    return Tab_Get(&httpd->conns, id & ~CONN_BIT);
+    if (!Hs_IsOwn(httpd, id)) {
+        return NULL;
+    }
+    return Tab_Get(&httpd->conns, id & ~(CONN_BIT | TAG_MASK));
 }
 
 static void
@@ -100,7 +112,8 @@
 }
 
 static void
-read_headers(struct lws *wsi, struct hs_request *request)
+read_headers(const struct httpd *httpd, struct lws *wsi,
+             struct hs_request *request)
 {
     static const char name[] = "idempotency-key:";
     char auth[HS_HEADER_SIZE + 8];
@@ -113,6 +126,15 @@
                             sizeof(name) - 1) <= 0) {
         request->key[0] = '\0';
     }
+    if (lws_hdr_copy(wsi, request->host, sizeof(request->host),
+                     WSI_TOKEN_HOST) <= 0) {
+        request->host[0] = '\0';
+    }
+    if (!httpd->extra ||
+        lws_hdr_custom_copy(wsi, request->extra, sizeof(request->extra),
+                            httpd->extra, (int)strlen(httpd->extra)) <= 0) {
+        request->extra[0] = '\0';
+    }
     if (lws_hdr_copy(wsi, auth, sizeof(auth), WSI_TOKEN_HTTP_AUTHORIZATION) >
             7 &&
         strncasecmp(auth, "Bearer ", 7) == 0) {
@@ -159,11 +181,12 @@
     CTR_INC(httpd->counters, http_requests);
     session->conn = Tab_Handle(&httpd->conns, conn);
     conn->wsi = wsi;
-    conn->request.conn = session->conn | CONN_BIT;
-    read_headers(wsi, &conn->request);
+    conn->request.conn =
+        session->conn | CONN_BIT | (uint64_t)httpd->tag << TAG_SHIFT;
+    read_headers(httpd, wsi, &conn->request);
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
     long size = content_length(wsi);
-    if (size < 0 || size > (long)HS_MAX_BODY) {
+    if (size < 0 || size > (long)httpd->max_body) {
         conn->too_large = 1;
         dispatch(httpd, conn);
         return 0;
@@ -182,7 +205,7 @@
     if (!conn || conn->too_large) {
         return 0;
     }
-    if (conn->body_size + size > HS_MAX_BODY) {
+    if (conn->body_size + size > httpd->max_body) {
         conn->too_large = 1;
         return 0;
     }
@@ -248,7 +271,7 @@
     conn_id id = conn->request.conn;
     unsigned char user[HS_USER_SIZE];
     memcpy(user, conn->user, sizeof(user));
-    int close_it = conn->too_large;
+    int close_it = conn->too_large || httpd->is_closing;
     drop_conn(httpd, session);
     if (httpd->sent) {
         httpd->sent(httpd->context, id, user);
@@ -259,6 +282,15 @@
     return 0;
 }
 
+static void
+note_gone(struct httpd *httpd, struct session *session)
+{
+    const struct conn *conn = Tab_Get(&httpd->conns, session->conn);
+    if (conn && !conn->reply && httpd->gone) {
+        httpd->gone(httpd->context, conn->request.conn, conn->user);
+    }
+}
+
 static int
 callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
          void *in, size_t len)
@@ -286,6 +318,7 @@
         return on_writable(httpd, wsi, session);
     case LWS_CALLBACK_CLOSED_HTTP:
         if (session) {
+            note_gone(httpd, session);
             drop_conn(httpd, session);
         }
         return 0;
@@ -305,7 +338,6 @@
         hs_sent *sent, void *context, struct counters *counters,
         struct err *err)
 {
-    static char host[64];
     int port;
     memset(httpd, 0, sizeof(*httpd));
     httpd->loop = loop;
@@ -313,7 +345,8 @@
     httpd->sent = sent;
     httpd->context = context;
     httpd->counters = counters;
-    if (Hs_SplitAddr(addr, host, sizeof(host), &port)) {
+    httpd->max_body = HS_MAX_BODY;
+    if (Hs_SplitAddr(addr, httpd->listen, sizeof(httpd->listen), &port)) {
         return Err_Set(err, CODE_BAD_SETTING, "%s is no ip:port", addr);
     }
     if (Tab_Init(&httpd->conns, sizeof(struct conn), MAX_CONNS)) {
@@ -321,7 +354,8 @@
     }
     struct lws_context_creation_info info = {0};
     info.port = port;
-    info.iface = host;
+    info.iface = httpd->listen;
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
     info.vhost_name = addr;
     info.protocols = protocols;
     info.user = httpd;
@@ -330,7 +364,7 @@
     info.ssl_cert_filepath = tls_cert;
     info.ssl_private_key_filepath = tls_key;
     if (tls_cert) {
-        info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     }
     httpd->vhost = lws_create_vhost(loop->lws, &info);
     if (!httpd->vhost) {
--- a/shell/src/link.c
+++ b/shell/src/link.c
@@ -25,6 +25,9 @@
     struct links *links = context;
     if (head->to != links->head.from) {
         CTR_INC(links->counters, frame_not_for_us);
+        if (links->stranger) {
+            links->stranger(links->context, head);
+        }
         return;
     }
     CTR_INC(links->counters, messages_received);
@@ -96,6 +99,7 @@
     }
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.vhost_name = "link";
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
     info.protocols = protocols;
     info.user = links;
     links->vhost = lws_create_vhost(links->loop->lws, &info);
--- a/shell/src/loop.c
+++ b/shell/src/loop.c
@@ -38,6 +38,7 @@
     struct lws_context_creation_info info = {0};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.vhost_name = "timers";
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
     info.protocols = protocols;
     loop->timers = lws_create_vhost(loop->lws, &info);
     return loop->timers ? 0 : -1;
@@ -49,7 +50,8 @@
     struct lws_context_creation_info info = {0};
     memset(loop, 0, sizeof(*loop));
     lws_set_log_level(LLL_ERR, NULL);
-    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.options =
+        LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.pt_serv_buf_size = 32 * 1024;
     info.timeout_secs = WAIT_LIMIT_S;
     loop->lws = lws_create_context(&info);
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -157,8 +157,36 @@
         commit_row(registry);
         return;
     }
+    char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    own_key(registry, key, sizeof(key));
     registry->busy = 1;
-    Store_Read(registry->store, 0, on_rows, registry);
+    Store_ReadRow(registry->store, key, on_rows, registry);
+}
+
+/* The row is gone, as after an outage that took it away, or it is that of an
+ * earlier process. A later one of this node's name keeps its own. */
+static void
+check_kept(struct registry *registry, const json_t *rows)
+{
+    size_t i;
+    const json_t *row;
+    char own[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    own_key(registry, own, sizeof(own));
+    json_array_foreach(rows, i, row)
+    {
+        struct ent_member member;
+        const char *key = json_string_value(json_object_get(row, "key"));
+        if (key && strcmp(key, own) == 0 &&
+            Reg_ReadMember(&member, key, json_object_get(row, "value"), 1) ==
+                0 &&
+            member.incarnation >= registry->incarnation) {
+            return;
+        }
+    }
+    LOG_WARN("registry", "Own row is gone: writing it again. node=%s",
+             registry->settings->node);
+    registry->registered = 0;
+    registry->busy = 0;
 }
 
 static void
@@ -172,6 +200,10 @@
     if (result->code != CODE_OK) {
         return;
     }
+    if (registry->keep) {
+        check_kept(registry, json_object_get(result->body, "rows"));
+        return;
+    }
     own_key(registry, key, sizeof(key));
     json_array_foreach(json_object_get(result->body, "rows"), i, row)
     {
@@ -189,5 +221,11 @@
         return;
     }
     registry->verifying = 1;
+    if (registry->keep) {
+        char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+        own_key(registry, key, sizeof(key));
+        Store_ReadRow(registry->store, key, on_verify, registry);
+        return;
+    }
     Store_Read(registry->store, registry->registered, on_verify, registry);
 }
--- a/shell/src/store.c
+++ b/shell/src/store.c
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 
+/* Calls at once: two that wait for changes, and others. */
 #define STORE_LANES 8
 #define STORE_TIMEOUT_MS 2000
 
@@ -13,14 +14,20 @@
     struct store *store;
     store_done *done;
     void *context;
+    int is_commit;
 };
 
 int
 Store_Init(struct store *store, struct loop *loop, const char *addr,
-           struct counters *counters, struct err *err)
+           enum store_dialect dialect, struct counters *counters,
+           struct err *err)
 {
     memset(store, 0, sizeof(*store));
+    store->dialect = dialect;
     store->counters = counters;
+    if (Pf_InitOperator(&store->op)) {
+        return Err_Set(err, CODE_NO_MEMORY, "no memory for rows");
+    }
     snprintf(store->addr, sizeof(store->addr), "%s", addr);
     return Hc_Init(&store->http, loop, STORE_LANES, err);
 }
@@ -29,6 +36,26 @@
 Store_Finish(struct store *store)
 {
     Hc_Finish(&store->http);
+    Pf_FinishOperator(&store->op);
+    for (int i = 0; i < PF_TABLE_COUNT; i++) {
+        json_decref(store->feeds[i].keys);
+        json_decref(store->feeds[i].found);
+    }
+}
+
+void
+Store_NoteAnswer(struct store *store, int status)
+{
+    int is_down = status == 0 || status == 429 || status >= 500;
+    if (is_down) {
+        CTR_INC(store->counters, store_errors);
+    }
+    if (is_down != store->is_down) {
+        store->is_down = is_down;
+        LOG_WARN("store", "The table service %s. address=%s status=%d",
+                 is_down ? "does not answer" : "answers again", store->addr,
+                 status);
+    }
 }
 
 static enum code
@@ -38,34 +65,55 @@
     case 200:
         return CODE_OK;
     case 409:
+    case 412:
         return CODE_CONFLICT;
     default:
         return CODE_STORE_DOWN;
     }
 }
 
+static json_t *
+read_rows(struct bytes body)
+{
+    struct err err = {0};
+    struct pf_rows rows;
+    if (Pf_ReadRows(&rows, body, &err)) {
+        LOG_WARN("store", "Answer kept out: %s.", err.text);
+        return NULL;
+    }
+    return json_pack("{s:I,s:o}", "version", (json_int_t)rows.version, "rows",
+                     rows.list);
+}
+
+static json_t *
+read_body(const struct call *call, const struct hc_result *http)
+{
+    if (call->store->dialect == STORE_OWN) {
+        return json_loadb(http->body.data, http->body.size, 0, NULL);
+    }
+    return call->is_commit ? Pf_ReadCommit(http->body) : read_rows(http->body);
+}
+
 static void
 on_done(void *context, const struct hc_result *http)
 {
     struct call *call = context;
     struct store_result result = {.code = code_of(http->status)};
     if (result.code != CODE_STORE_DOWN) {
-        result.body = json_loadb(http->body.data, http->body.size, 0, NULL);
-        if (!result.body) {
+        result.body = read_body(call, http);
+        if (!result.body && result.code == CODE_OK) {
             result.code = CODE_STORE_DOWN;
         }
     }
-    if (result.code == CODE_STORE_DOWN) {
-        CTR_INC(call->store->counters, store_errors);
-    }
+    Store_NoteAnswer(call->store, http->status);
     call->done(call->context, &result);
     json_decref(result.body);
     free(call);
 }
 
 static void
-begin(struct store *store, const char *method, const char *path,
-      const char *body, store_done *done, void *context)
+begin(struct store *store, int is_commit, const char *path, const char *body,
+      store_done *done, void *context)
 {
     struct store_result down = {.code = CODE_STORE_DOWN};
     struct call *call = calloc(1, sizeof(*call));
@@ -74,11 +122,12 @@
         return;
     }
     call->store = store;
+    call->is_commit = is_commit;
     call->done = done;
     call->context = context;
     struct hc_call http = {
         .addr = store->addr,
-        .method = method,
+        .method = is_commit ? "POST" : "GET",
         .path = path,
         .body = {body, body ? (uint32_t)strlen(body) : 0},
         .timeout_ms = STORE_TIMEOUT_MS,
@@ -99,15 +148,31 @@
     snprintf(path, sizeof(path), "/v1/rows?since=%llu",
              (unsigned long long)since);
     CTR_INC(store->counters, store_reads);
-    begin(store, "GET", path, NULL, done, context);
+    begin(store, 0, path, NULL, done, context);
+}
+
+void
+Store_ReadRow(struct store *store, const char *key, store_done *done,
+              void *context)
+{
+    char path[PF_STORE_PATH_SIZE];
+    if (store->dialect == STORE_OWN) {
+        Store_Read(store, 0, done, context);
+        return;
+    }
+    Pf_RowPath(path, key);
+    CTR_INC(store->counters, store_reads);
+    begin(store, 0, path, NULL, done, context);
 }
 
 void
 Store_Commit(struct store *store, const json_t *change, store_done *done,
              void *context)
 {
-    char *body = json_dumps(change, JSON_COMPACT);
+    int own = store->dialect == STORE_OWN;
+    char *body =
+        own ? json_dumps(change, JSON_COMPACT) : Pf_WriteCommit(change);
     CTR_INC(store->counters, store_writes);
-    begin(store, "POST", "/v1/commit", body, done, context);
+    begin(store, 1, own ? "/v1/commit" : pf_commit_path, body, done, context);
     free(body);
 }
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -9,7 +9,7 @@
 #include "wire/key.h"
 
 /** Version of the messages; a frame of another version is refused. */
-#define WIRE_VERSION 1
+#define WIRE_VERSION 2
 /** Most tasks in a job. */
 #define WIRE_MAX_TASKS 820
 /** Task number that stands for all tasks of a key. */
@@ -29,6 +29,13 @@
     uint32_t size;
 };
 
+/** An amount of what a worker offers beside its slots. */
+struct resources {
+    uint32_t cpu; /**< Thousandths of a core. */
+    uint32_t memory_mb;
+    uint32_t gpu;
+};
+
 /** Epoch of an issuer's owner, ordered by `n`, then by `owner`. */
 struct epoch {
     uint64_t n;
@@ -68,6 +75,8 @@
 enum sub_flags {
     SUB_IDEMPOTENT = 1, /**< May be run again when its outcome is unknown. */
     SUB_REQUEST = 2,    /**< One call to a service: takes no task slot. */
+    SUB_RESTART = 4,    /**< Not kept: its tasks may run again from the start
+                             once their earlier runs have surely ended. */
 };
 
 /** Flag of a start: also on a worker that fails what it starts. */
@@ -93,6 +102,12 @@
     unsigned flags; /**< enum sub_flags. */
     uint32_t task_count;
     const struct sub_task *tasks;
+    /* Of jobs with SUB_RESTART only, which are never passed on. */
+    uint64_t name;            /**< The caller's name for the job. */
+    struct resources need;    /**< Of each task. */
+    uint32_t max_attempts;    /**< Failed runs of a task that end the job. */
+    uint32_t target_ms;       /**< Response time beyond the stretched work. */
+    uint32_t stretch_percent; /**< Wanted response over the longest task. */
 };
 
 /** One task's outcome. */
@@ -158,8 +173,11 @@
     uint32_t connections;
     uint32_t memory_mb;
     uint32_t cores;
-    uint64_t registered; /**< Version of the agent's registration. */
-    uint8_t suspect;     /**< The worker is out for its failures. */
+    struct resources capacity; /**< All 0 where only slots count. */
+    struct resources used;
+    struct resources mine_used; /**< Of these, by the receiver's tasks. */
+    uint64_t registered;        /**< Version of the agent's registration. */
+    uint8_t suspect;            /**< The worker is out for its failures. */
     uint8_t leaving;
 };
 
@@ -184,6 +202,11 @@
     char team[WIRE_NAME_SIZE];
     uint64_t body_hash; /**< Of the whole submission that it belongs to. */
     struct bytes input;
+    uint64_t name; /**< The caller's name for the job, 0 for none. */
+    struct resources need;
+    uint32_t expect_ms; /**< Expected run time. */
+    uint64_t heard_us;  /**< Time of the agent's latest heartbeat that the
+                             sender had heard, on the agent's clock. */
 };
 
 /** Agent to owner: a task's outcome, or a refusal of a start. As MSG_HELD,
@@ -196,11 +219,13 @@
     enum task_state state;
     enum code code;
     uint32_t run_us;
-    uint32_t busy;      /**< Slots taken at the agent after this. */
-    uint32_t mine;      /**< Of these, taken by the receiver's tasks. */
-    uint64_t body_hash; /**< The one of the start; MSG_HELD only. */
-    uint32_t report;    /**< Report that it belongs to; MSG_HELD only. */
-    uint32_t index;     /**< Place in the report, from 0; MSG_HELD only. */
+    uint32_t busy;         /**< Slots taken at the agent after this. */
+    uint32_t mine;         /**< Of these, taken by the receiver's tasks. */
+    struct resources used; /**< At the agent after this. */
+    struct resources mine_used; /**< Of these, by the receiver's tasks. */
+    uint64_t body_hash;         /**< The one of the start; MSG_HELD only. */
+    uint32_t report; /**< Report that it belongs to; MSG_HELD only. */
+    uint32_t index;  /**< Place in the report, from 0; MSG_HELD only. */
     struct bytes output;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -41,6 +41,14 @@
     put_uint(pk, epoch.owner);
 }
 
+static void
+put_resources(msgpack_packer *pk, const struct resources *amount)
+{
+    put_uint(pk, amount->cpu);
+    put_uint(pk, amount->memory_mb);
+    put_uint(pk, amount->gpu);
+}
+
 static void
 put_beat(msgpack_packer *pk, const struct msg_beat *m)
 {
@@ -55,7 +63,7 @@
 static void
 put_agent(msgpack_packer *pk, const struct msg_agent *m)
 {
-    msgpack_pack_array(pk, 11);
+    msgpack_pack_array(pk, 20);
     put_uint(pk, MSG_AGENT);
     put_str(pk, m->service);
     put_uint(pk, m->slots);
@@ -64,6 +72,9 @@
     put_uint(pk, m->connections);
     put_uint(pk, m->memory_mb);
     put_uint(pk, m->cores);
+    put_resources(pk, &m->capacity);
+    put_resources(pk, &m->used);
+    put_resources(pk, &m->mine_used);
     put_uint(pk, m->registered);
     put_uint(pk, m->suspect);
     put_uint(pk, m->leaving);
@@ -83,7 +94,7 @@
 static void
 put_start(msgpack_packer *pk, const struct msg_start *m)
 {
-    msgpack_pack_array(pk, 15);
+    msgpack_pack_array(pk, 21);
     put_uint(pk, MSG_START);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -98,12 +109,16 @@
     put_str(pk, m->team);
     put_uint(pk, m->body_hash);
     put_bytes(pk, m->input);
+    put_uint(pk, m->name);
+    put_resources(pk, &m->need);
+    put_uint(pk, m->expect_ms);
+    put_uint(pk, m->heard_us);
 }
 
 static void
 put_result(msgpack_packer *pk, enum msg_type type, const struct msg_result *m)
 {
-    msgpack_pack_array(pk, type == MSG_HELD ? 15 : 12);
+    msgpack_pack_array(pk, type == MSG_HELD ? 21 : 18);
     put_uint(pk, type);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -114,6 +129,8 @@
     put_uint(pk, m->run_us);
     put_uint(pk, m->busy);
     put_uint(pk, m->mine);
+    put_resources(pk, &m->used);
+    put_resources(pk, &m->mine_used);
     if (type == MSG_HELD) {
         put_uint(pk, m->body_hash);
         put_uint(pk, m->report);
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -106,6 +106,14 @@
     epoch->owner = take_u64(c);
 }
 
+static void
+take_resources(struct cursor *c, struct resources *amount)
+{
+    amount->cpu = take_u32(c);
+    amount->memory_mb = take_u32(c);
+    amount->gpu = take_u32(c);
+}
+
 static enum code
 take_code(struct cursor *c)
 {
@@ -135,6 +143,9 @@
     m->connections = take_u32(c);
     m->memory_mb = take_u32(c);
     m->cores = take_u32(c);
+    take_resources(c, &m->capacity);
+    take_resources(c, &m->used);
+    take_resources(c, &m->mine_used);
     m->registered = take_u64(c);
     m->suspect = (uint8_t)take_max(c, 1);
     m->leaving = (uint8_t)take_max(c, 1);
@@ -170,6 +181,10 @@
     take_str(c, m->team, sizeof(m->team));
     m->body_hash = take_u64(c);
     m->input = take_bytes(c);
+    m->name = take_u64(c);
+    take_resources(c, &m->need);
+    m->expect_ms = take_u32(c);
+    m->heard_us = take_u64(c);
 }
 
 static void
@@ -187,6 +202,8 @@
     m->run_us = take_u32(c);
     m->busy = take_u32(c);
     m->mine = take_u32(c);
+    take_resources(c, &m->used);
+    take_resources(c, &m->mine_used);
     if (type == MSG_HELD) {
         m->body_hash = take_u64(c);
         m->report = take_u32(c);
