--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -127,10 +127,11 @@
     Hs_SetUser(&ingress->callers, request->conn, &waiting, sizeof(waiting));
     LOG_INFO("callers",
              "Job came in. job=%016" PRIx64 " route=%s tasks=%u cpu=%u "
-             "estimate_ms=%u deadline_ms=%u routes_version=%" PRIu64,
+             "estimate_ms=%u deadline_ms=%u wait=%.12s timeout_ms=%u "
+             "routes_version=%" PRIu64,
              name, route->name, job.sub.task_count, job.sub.need.cpu,
-             job.tasks[0].run_ms, job.sub.deadline_ms,
-             ingress->control->routes.version);
+             job.tasks[0].run_ms, job.sub.deadline_ms, request->extra,
+             route->timeout_ms, ingress->control->routes.version);
     Ent_OnSubmit(ingress->core, now, request->conn, &job.sub);
     Pf_FreeJob(&job);
 }
