--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -122,7 +122,8 @@
     uint32_t expect_ms;  /**< Expected run time, 0 when not known. */
     uint64_t begun_us;   /**< When the start was ordered. */
     uint64_t covered_us; /**< When its lease was last renewed. */
-    uint64_t next_us;    /**< When the stop is ordered again. */
+    uint64_t next_us;    /**< When the stop is ordered again or, once it is
+                              acknowledged, surely over. */
     uint64_t settled_us; /**< When the start or stop was acknowledged. */
     uint32_t percent;
     uint64_t moved_us; /**< When `percent` last rose. */
@@ -148,6 +149,7 @@
     struct rn_sink sink;
     struct counters *counters;
     uint64_t lease_us;
+    uint64_t stop_us; /**< Longest time that a stop takes. */
     enum rn_phase phase;
     uint64_t born_ms;
     uint64_t clock_ms; /**< The upstream's clock when last told... */
@@ -164,10 +166,11 @@
     struct rn_run *index;
 };
 
-/** Make a runner. `lease_us` is the longest lease that the upstream grants.
- * Returns -1 for lack of memory. */
-int Rn_Init(struct runner *runner, uint64_t lease_us, struct rn_sink sink,
-            struct counters *counters);
+/** Make a runner. `lease_us` is the longest lease that the upstream grants,
+ * `stop_us` the longest time that a stop takes there. Returns -1 for lack of
+ * memory. */
+int Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t stop_us,
+            struct rn_sink sink, struct counters *counters);
 
 /** Free what it owns. */
 void Rn_Finish(struct runner *runner);
--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -104,9 +104,6 @@
         run->percent = percent;
         run->moved_us = now.us;
     }
-    if (run->state == RN_STOPPED) {
-        runner->want_peek = 1;
-    }
 }
 
 /* A run that nobody here asked for: of a process before this one. */
@@ -137,7 +134,21 @@
 }
 
 /* What was settled before the question was sent, and is neither listed as
- * running nor as ended, is not there. */
+ * running nor as ended, is not there. What is being stopped takes its room
+ * until its end is listed, and is not listed as running any more. */
+static uint64_t
+settled_us(const struct rn_run *run)
+{
+    switch (run->state) {
+    case RN_RUNNING:
+        return run->settled_us;
+    case RN_STOPPED:
+        return run->next_us;
+    default:
+        return 0;
+    }
+}
+
 static void
 end_missing(struct runner *runner, struct now now, uint64_t sent_us,
             const struct rn_view *view)
@@ -149,8 +160,8 @@
         return;
     }
     while ((run = Tab_Next(&runner->runs, &slot))) {
-        int settled = run->state == RN_STOPPED || run->state == RN_RUNNING;
-        if (!settled || run->settled_us == 0 || run->settled_us >= sent_us ||
+        uint64_t since_us = settled_us(run);
+        if (since_us == 0 || since_us >= sent_us ||
             is_listed(view, &run->id)) {
             continue;
         }
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -285,7 +285,7 @@
     if (reply == RN_DONE) {
         run->state = RN_STOPPED;
         run->settled_us = now.us;
-        runner->want_peek = 1;
+        run->next_us = now.us + 2 * runner->stop_us;
         Rni_Look(runner, now);
         return;
     }
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -12,11 +12,12 @@
 #define STALL_LEAST_US (400 * US_PER_MS)
 
 int
-Rn_Init(struct runner *runner, uint64_t lease_us, struct rn_sink sink,
-        struct counters *counters)
+Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t stop_us,
+        struct rn_sink sink, struct counters *counters)
 {
     memset(runner, 0, sizeof(*runner));
     runner->lease_us = lease_us;
+    runner->stop_us = stop_us;
     runner->sink = sink;
     runner->counters = counters;
     return Tab_Init(&runner->runs, sizeof(struct rn_run), RN_MAX_RUNS);
@@ -176,7 +177,10 @@
             now.us >= run->next_us) {
             Rni_OrderStop(runner, now, run);
         }
-        else if (is_over(runner, now, run)) {
+        else if (run->state == RN_STOPPED && now.us >= run->next_us) {
+            runner->want_peek = 1;
+        }
+        if (is_over(runner, now, run)) {
             Rni_End(runner, now, run, CODE_RUN_LOST);
         }
         else if (is_stalled(now, run)) {
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -234,7 +234,8 @@
     orders->core = core;
     orders->counters = counters;
     if (Rn_Init(&orders->runner,
-                (uint64_t)settings->upstream_lease_ms * US_PER_MS, sink,
+                (uint64_t)settings->upstream_lease_ms * US_PER_MS,
+                (uint64_t)settings->upstream_stop_ms * US_PER_MS, sink,
                 counters)) {
         return Err_Set(err, CODE_NO_MEMORY, "no memory for runs");
     }
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -38,6 +38,7 @@
     char listen_upstream[WIRE_ADDR_SIZE];  /**< Agent on the platform. */
     int64_t resubmit_ms;
     int64_t upstream_lease_ms;
+    int64_t upstream_stop_ms;
     int64_t key_lifetime_s;
     int64_t job_capacity;
     int64_t task_capacity;
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -72,6 +72,8 @@
      "0 for callers that keep their keys"},
     {"upstream_lease_ms", KIND_INT, AT(upstream_lease_ms), 100, 600000, 1000,
      NULL, NULL, "longest lease that an upstream grants its runs"},
+    {"upstream_stop_ms", KIND_INT, AT(upstream_stop_ms), 1, 60000, 50, NULL,
+     NULL, "longest time that an upstream takes to stop a run"},
     {"key_lifetime_s", KIND_INT, AT(key_lifetime_s), 1, 86400, 300, NULL, NULL,
      "seconds that a key and its answer are kept"},
     {"job_capacity", KIND_INT, AT(job_capacity), 16, 4000000, 100000, NULL,
