--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -96,8 +96,7 @@
 }
 
 static void
-take_running(struct runner *runner, struct now now, struct rn_run *run,
-             uint32_t percent)
+take_running(struct now now, struct rn_run *run, uint32_t percent)
 {
     run->was_running = 1;
     if (percent > run->percent || run->moved_us == 0) {
@@ -179,7 +178,7 @@
         const struct rn_running *running = &view->running[i];
         struct rn_run *run = Rni_Find(runner, &running->id);
         if (run) {
-            take_running(runner, now, run, running->percent);
+            take_running(now, run, running->percent);
         }
         else {
             stop_unknown(runner, now, &running->id);
