Use an upstream only once its lists have come

Ruled out: the room of a run being stopped (mended before, seen again), late orders (fenced).

Test: runs_of_before_are_ended_before_it_is_usable, red before.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -133,7 +133,8 @@
 /** How far this process knows the upstream. */
 enum rn_phase {
     RN_UNKNOWN,  /**< Nothing is known of it. */
-    RN_MEETING,  /**< Its clock and runs are being asked for. */
+    RN_MEETING, /**< Its clock is being asked for. */
+    RN_LISTING, /**< Its runs are being asked for. */
     RN_CLEARING, /**< Runs of before are being stopped. */
     RN_USABLE,
 };
--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -43,8 +43,8 @@
 void
 Rni_Look(struct runner *runner, struct now now)
 {
-    int wanted = runner->runs.used > 0 || runner->phase == RN_MEETING ||
-                 runner->phase == RN_CLEARING;
+    int wanted = runner->runs.used > 0 ||
+                 (runner->phase != RN_UNKNOWN && runner->phase != RN_USABLE);
     if (runner->phase == RN_UNKNOWN || now.us < runner->next_look_us) {
         return;
     }
@@ -208,7 +208,7 @@
     }
     if (runner->clock_ms) {
         runner->fence = runner->clock_ms;
-        runner->phase = RN_CLEARING;
+        runner->phase = RN_LISTING;
     }
 }
 
@@ -249,6 +249,9 @@
     }
     else if (reply == RN_DONE) {
         Rni_TakeView(runner, now, sent_us, view);
+        if (runner->phase == RN_LISTING) {
+            runner->phase = RN_CLEARING;
+        }
     }
     runner->next_look_us = now.us;
     if (runner->want_peek && runner->wait.look) {
