Serve restartable jobs by the time they have to start

Now a job that has missed its start gives way to those that can make theirs, and is refused once its answer is of no use.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -13,6 +13,7 @@
     X(jobs_complete, "jobs answered complete")                                \
     X(jobs_failed, "jobs answered as failed")                                 \
     X(jobs_abandoned, "jobs ended because their caller had left")             \
+    X(jobs_late, "jobs that could no longer end when they were wanted")       \
     X(jobs_resubmitted, "submissions that met a known job")                   \
     X(jobs_forwarded, "submissions passed to the owning entry")               \
     X(answers_late, "answers whose caller was gone")                          \
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -201,6 +201,7 @@
     uint64_t not_before_us; /**< Its tasks are not placed before this. */
     uint8_t read;           /**< A caller has read the answer. */
     uint8_t is_named;       /**< Found by its caller's name. */
+    uint8_t is_late;        /**< It cannot end when it is wanted. */
     enum code code;
     char detail[WIRE_ADDR_SIZE];
     uint32_t retry_after_ms;
--- a/core/include/core/sched.h
+++ b/core/include/core/sched.h
@@ -8,10 +8,15 @@
 #include "base/tab.h"
 #include "wire/msg.h"
 
-/** Queues of a service: one for each priority class, one for requests. */
-#define ENT_LANES (PRIO_COUNT + 1)
+/** Queues of a service: one for each priority class, one for requests, two
+ * for restartable jobs. */
+#define ENT_LANES (PRIO_COUNT + 3)
 /** Queue of requests, which take no task slot. */
 #define ENT_LANE_REQUEST PRIO_COUNT
+/** Queue of restartable jobs that can still end when they are wanted. */
+#define ENT_LANE_DUE (PRIO_COUNT + 1)
+/** Queue of those that cannot. */
+#define ENT_LANE_LATE (PRIO_COUNT + 2)
 /** Most pairs of service and team, and of service and kind, kept apart; the
  * ones above share a row. */
 #define ENT_MAX_SHARES 4096
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -51,7 +51,8 @@
     const struct policy *policy = Enti_Policy(entry, service->name, "");
     struct ent_outlook outlook = {0, 0};
     uint32_t index = Enti_Lane(job);
-    if (index == ENT_LANE_REQUEST) {
+    if (index >= PRIO_COUNT) {
+        outlook.run_us = Enti_IsRestartable(job) ? job->longest_us : 0;
         return outlook;
     }
     double all = usable_slots(entry, now, service);
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -302,6 +302,7 @@
     if (now.us >= entry->next_scan_us) {
         entry->next_scan_us = now.us + SCAN_INTERVAL_US;
         scan_jobs(entry, now);
+        Enti_AgeQueues(entry, now);
         Enti_PlaceAll(entry, now);
         Enti_ResendFences(entry, now);
         Enti_ResendAsks(entry, now);
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -192,6 +192,16 @@
 int Enti_Retry(struct entry *entry, struct now now, struct ent_job *job,
                struct ent_task *task, enum code code);
 
+/* urgency.c */
+
+/** Place of a restartable job in its queue: the time by which its tasks have
+ * to be started, the more urgent classes first among those of one time. */
+uint64_t Enti_StartBy(const struct ent_job *job);
+
+/** Move jobs that can no longer end when they are wanted behind the others;
+ * refuse those that nothing was started of and whose answer is of no use. */
+void Enti_AgeQueues(struct entry *entry, struct now now);
+
 /* room.c */
 
 /** Tasks that need `need` for which an agent has the resources, as far as is
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -366,13 +366,16 @@
 place_next(struct entry *entry, struct now now, struct ent_service *service)
 {
     uint32_t order[PRIO_COUNT];
+    if (place_lane(entry, now, &service->lanes[ENT_LANE_DUE]) == 0) {
+        return 0;
+    }
     Enti_OrderLanes(service, order);
     for (int i = 0; i < PRIO_COUNT; i++) {
         if (place_lane(entry, now, &service->lanes[order[i]]) == 0) {
             return 0;
         }
     }
-    return -1;
+    return place_lane(entry, now, &service->lanes[ENT_LANE_LATE]);
 }
 
 /* When more workers fail than can be bad at once, the tasks are bad. */
--- a/core/src/entry/queue.c
+++ b/core/src/entry/queue.c
@@ -10,6 +10,9 @@
 uint32_t
 Enti_Lane(const struct ent_job *job)
 {
+    if (Enti_IsRestartable(job)) {
+        return job->is_late ? ENT_LANE_LATE : ENT_LANE_DUE;
+    }
     return job->flags & SUB_REQUEST ? ENT_LANE_REQUEST
                                     : (uint32_t)job->priority;
 }
@@ -75,7 +78,8 @@
         return;
     }
     if (!again) {
-        job->tag = make_tag(entry, job);
+        job->tag =
+            Enti_IsRestartable(job) ? Enti_StartBy(job) : make_tag(entry, job);
     }
     insert(lane, job);
     job->queued = 1;
@@ -120,7 +124,7 @@
     if (job->tag > service->lanes[served].tag) {
         service->lanes[served].tag = job->tag;
     }
-    if (served == ENT_LANE_REQUEST) {
+    if (served >= PRIO_COUNT) {
         return;
     }
     const struct policy *policy = Enti_Policy(entry, service->name, "");
