--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -140,6 +140,8 @@
         HASH_ADD(hh, agent->entry_index, incarnation,
                  sizeof(entry->incarnation), entry);
         link_entry(agent, now, entry);
+        entry->heard_us = now.us;
+        Agi_SendStatus(agent, now, entry);
     }
     entry->heard_us = now.us;
     return entry;
@@ -172,9 +174,8 @@
         return;
     }
     HASH_FIND(hh, agent->entry_index, &head->from, sizeof(head->from), entry);
-    if (!entry && (entry = hear_entry(agent, now, head))) {
+    if (!entry && hear_entry(agent, now, head)) {
         CTR_INC(agent->counters, strangers);
-        Agi_SendStatus(agent, now, entry);
     }
 }
 
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -98,6 +98,21 @@
     }
 }
 
+static void
+beat_peer(struct entry *entry, struct now now, struct ent_peer *peer)
+{
+    struct msg msg = {.type = MSG_BEAT};
+    msg.u.beat.sent_us = now.us;
+    msg.u.beat.echo_us = peer->echo_us;
+    msg.u.beat.version = entry->version;
+    msg.u.beat.draining = entry->draining;
+    Act_Send(&entry->sink, peer->member.incarnation, &msg);
+    Enti_SendVersion(entry, now, peer);
+    if (peer->member.role == ROLE_ENTRY) {
+        Enti_SendIssuers(entry, peer->member.incarnation);
+    }
+}
+
 /* The row of an earlier process, while the one that introduced itself since
  * is heard. */
 static int
@@ -167,6 +182,8 @@
              sizeof(peer->member.incarnation), peer);
     Enti_ResolveAgent(entry, now, peer);
     link_peer(entry, now, peer);
+    /* It need not wait for the next heartbeat to know of this entry. */
+    beat_peer(entry, now, peer);
 }
 
 void
@@ -280,21 +297,6 @@
     }
 }
 
-static void
-beat_peer(struct entry *entry, struct now now, struct ent_peer *peer)
-{
-    struct msg msg = {.type = MSG_BEAT};
-    msg.u.beat.sent_us = now.us;
-    msg.u.beat.echo_us = peer->echo_us;
-    msg.u.beat.version = entry->version;
-    msg.u.beat.draining = entry->draining;
-    Act_Send(&entry->sink, peer->member.incarnation, &msg);
-    Enti_SendVersion(entry, now, peer);
-    if (peer->member.role == ROLE_ENTRY) {
-        Enti_SendIssuers(entry, peer->member.incarnation);
-    }
-}
-
 /* Either nothing comes from the peer, or it does not get what is sent. */
 static int
 is_link_silent(const struct entry *entry, struct now now,
