--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -114,17 +114,18 @@
     struct rn_id id;
     tab_handle task; /**< 0 for a run that nobody here asked for. */
     enum rn_state state;
-    uint8_t order_out;   /**< An order waits for its reply. */
-    uint8_t was_running; /**< It is known to have run. */
-    uint8_t tries;       /**< Starts or stops ordered in a row. */
-    enum code code;      /**< How it ends when it is stopped. */
-    struct bytes input;  /**< Owned; until the start is settled. */
-    uint32_t expect_ms;  /**< Expected run time, 0 when not known. */
-    uint64_t begun_us;   /**< When the start was ordered. */
-    uint64_t covered_us; /**< When its lease was last renewed. */
-    uint64_t next_us;    /**< When the stop is ordered again or, once it is
-                              acknowledged, surely over. */
-    uint64_t settled_us; /**< When the start or stop was acknowledged. */
+    uint8_t order_out;      /**< An order waits for its reply. */
+    uint8_t was_running;    /**< It is known to have run. */
+    uint8_t was_unanswered; /**< An order to start it got no answer. */
+    uint8_t tries;          /**< Starts or stops ordered in a row. */
+    enum code code;         /**< How it ends when it is stopped. */
+    struct bytes input;     /**< Owned; until the start is settled. */
+    uint32_t expect_ms;     /**< Expected run time, 0 when not known. */
+    uint64_t begun_us;      /**< When the start was ordered. */
+    uint64_t covered_us;    /**< When its lease was last renewed. */
+    uint64_t next_us;       /**< When the stop is ordered again or, once it is
+                                 acknowledged, surely over. */
+    uint64_t settled_us;    /**< When the start or stop was acknowledged. */
     uint32_t percent;
     uint64_t moved_us; /**< When `percent` last rose. */
     UT_hash_handle hh;
@@ -133,8 +134,8 @@
 /** How far this process knows the upstream. */
 enum rn_phase {
     RN_UNKNOWN,  /**< Nothing is known of it. */
-    RN_MEETING, /**< Its clock is being asked for. */
-    RN_LISTING, /**< Its runs are being asked for. */
+    RN_MEETING,  /**< Its clock is being asked for. */
+    RN_LISTING,  /**< Its runs are being asked for. */
     RN_CLEARING, /**< Runs of before are being stopped. */
     RN_USABLE,
 };
@@ -162,6 +163,7 @@
     struct rn_question peek; /**< One that is answered at once. */
     uint8_t want_peek;
     uint32_t failures; /**< Questions in a row without an answer. */
+    uint64_t heard_us; /**< When any order was last answered. */
     uint64_t next_look_us;
     struct tab runs;
     struct rn_run *index;
--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -3,14 +3,14 @@
 #include "runner_impl.h"
 
 /* Part of a lease after which it is renewed. */
-#define RENEW_PARTS 4
-/* Time beyond the wait asked for after which a question is given up. */
-#define ANSWER_US (200 * US_PER_MS)
-/* Questions in a row without an answer after which the upstream counts as
- * gone. */
+#define RENEW_PARTS 5
+/* Questions in a row without an answer, and time without an answer to any
+ * order, after which the upstream counts as gone: some orders are lost while
+ * it is well. */
 #define MAX_FAILURES 2
+#define GONE_US (500 * US_PER_MS)
 /* Time until the next question after one without an answer. */
-#define PAUSE_US (50 * US_PER_MS)
+#define PAUSE_US (10 * US_PER_MS)
 /* While a stopped run is to vanish from the list it is looked for this
  * often. */
 #define PEEK_PAUSE_US (20 * US_PER_MS)
@@ -32,7 +32,8 @@
     act.look = question->look;
     act.fence = runner->fence;
     act.seen = runner->seen;
-    act.wait_ms = known ? ms : 0;
+    /* After a failure the leases need renewing more than an end waits. */
+    act.wait_ms = known && runner->failures == 0 ? ms : 0;
     if (known) {
         act.until_ms = Rni_Until(runner, now);
         Rni_Cover(runner, now);
@@ -191,7 +192,8 @@
 on_failure(struct runner *runner, struct now now)
 {
     runner->next_look_us = now.us + PAUSE_US;
-    if (++runner->failures >= MAX_FAILURES) {
+    if (++runner->failures >= MAX_FAILURES &&
+        now.us - runner->heard_us > GONE_US) {
         Rni_Lose(runner);
     }
 }
@@ -237,6 +239,7 @@
         return;
     }
     runner->failures = 0;
+    runner->heard_us = now.us;
     Rni_NoteClock(runner, now, view->clock_ms);
     if (runner->phase == RN_MEETING) {
         on_met(runner, now, view);
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -7,7 +7,8 @@
 /* A start that meets a higher number is given one higher by this, doubled
  * each time. */
 #define NUMBER_STEP 16
-/* Starts ordered again after a reply that may be mended. */
+/* Times that a start is ordered while its replies may be mended or do not
+ * come. The same run starts once, however often it is ordered. */
 #define MAX_TRIES 5
 /* A stop without an answer is ordered again after this, doubled each time up
  * to the second bound. */
@@ -205,6 +206,12 @@
     int wanted = run->state == RN_STARTING;
     switch (reply) {
     case RN_OLD_NUMBER:
+        if (run->was_unanswered) {
+            /* The order before was carried out, and the run has ended: the
+             * lists tell how. */
+            on_started(runner, now, run);
+            return;
+        }
         Rni_Renumber(runner, run,
                      run->id.number + ((uint32_t)NUMBER_STEP << run->tries));
         if (wanted && order_again(runner, now, run) == 0) {
@@ -246,6 +253,14 @@
     Rni_End(runner, now, run, wanted ? CODE_NO_UPSTREAM : run->code);
 }
 
+static void
+note_reply(struct runner *runner, struct now now, enum rn_reply reply)
+{
+    if (reply != RN_NO_ANSWER && reply != RN_UNREACHED) {
+        runner->heard_us = now.us;
+    }
+}
+
 void
 Rn_OnStarted(struct runner *runner, struct now now, tab_handle handle,
              enum rn_reply reply, uint64_t clock_ms)
@@ -255,6 +270,7 @@
         return;
     }
     Rni_NoteClock(runner, now, clock_ms);
+    note_reply(runner, now, reply);
     run->order_out = 0;
     if (reply == RN_DONE) {
         on_started(runner, now, run);
@@ -262,6 +278,11 @@
     else if (reply != RN_NO_ANSWER) {
         on_not_started(runner, now, run, reply);
     }
+    else if (run->state == RN_STARTING && run->tries < MAX_TRIES) {
+        CTR_INC(runner->counters, starts_unanswered);
+        run->was_unanswered = 1;
+        Rni_OrderStart(runner, now, run);
+    }
     else {
         /* It may be carried out later: a stop makes it void. */
         CTR_INC(runner->counters, starts_unanswered);
@@ -281,6 +302,7 @@
         return;
     }
     Rni_NoteClock(runner, now, clock_ms);
+    note_reply(runner, now, reply);
     run->order_out = 0;
     if (reply == RN_DONE) {
         run->state = RN_STOPPED;
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -9,10 +9,13 @@
 
 /* Connections to the upstream. */
 #define ORDER_LANES 48
-/* An order that is not answered within this may be carried out later. */
-#define ORDER_TIMEOUT_MS 100
-/* Time beyond the wait asked for that the answer to a question may take. */
-#define LOOK_TIMEOUT_MS 200
+/* An order without an answer for this many times what replies took of late,
+ * within these bounds, is given up: it may be carried out later. */
+#define TIMEOUT_FACTOR 8
+#define TIMEOUT_LEAST_MS 30
+#define TIMEOUT_MOST_MS 150
+/* Weight of one reply in the average. */
+#define REPLY_WEIGHT 0.1
 
 /* An order under way. */
 struct order_call {
@@ -21,6 +24,7 @@
     tab_handle run;
     uint32_t look;
     struct rn_id id;
+    uint64_t sent_us;
 };
 
 static const char *
@@ -46,6 +50,24 @@
     Rn_OnLook(&call->orders->runner, Loop_Now(), call->look, reply, &view);
 }
 
+static void
+note_time(const struct order_call *call)
+{
+    struct orders *orders = call->orders;
+    double ms = (double)(Loop_Now().us - call->sent_us) / (double)US_PER_MS;
+    orders->reply_ms += (ms - orders->reply_ms) * REPLY_WEIGHT;
+}
+
+static uint32_t
+timeout_ms(const struct orders *orders)
+{
+    double ms = orders->reply_ms * TIMEOUT_FACTOR;
+    if (ms < TIMEOUT_LEAST_MS) {
+        return TIMEOUT_LEAST_MS;
+    }
+    return ms < TIMEOUT_MOST_MS ? (uint32_t)ms : TIMEOUT_MOST_MS;
+}
+
 static void
 on_reply(void *context, const struct hc_result *http)
 {
@@ -67,6 +89,9 @@
                  call->id.task, call->id.number, reply_name(reply),
                  http->status);
     }
+    if (http->sent) {
+        note_time(call);
+    }
     if (call->type == RN_START) {
         Rn_OnStarted(runner, Loop_Now(), call->run, reply, clock_ms);
     }
@@ -90,6 +115,7 @@
     call->run = act->run;
     call->look = act->look;
     call->id = act->id;
+    call->sent_us = Loop_Now().us;
     struct hc_call http = {
         .addr = orders->address,
         .method = "POST",
@@ -97,8 +123,7 @@
         .body = {order.body, (uint32_t)strlen(order.body)},
         .extra_name = pf_life_header,
         .extra = orders->beat.id,
-        .timeout_ms = act->type == RN_LOOK ? act->wait_ms + LOOK_TIMEOUT_MS
-                                           : ORDER_TIMEOUT_MS,
+        .timeout_ms = act->wait_ms + timeout_ms(orders),
         .done = on_reply,
         .context = call,
     };
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -20,7 +20,8 @@
     struct runner runner;
     struct pf_beat beat; /**< The latest. */
     char address[WIRE_ADDR_SIZE];
-    int is_known; /**< A heartbeat has come. */
+    int is_known;    /**< A heartbeat has come. */
+    double reply_ms; /**< Time that replies took of late. */
 };
 
 /** Listen for the upstream and make the client. */
