--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -163,7 +163,8 @@
     struct rn_question peek; /**< One that is answered at once. */
     uint8_t want_peek;
     uint32_t failures; /**< Questions in a row without an answer. */
-    uint64_t heard_us; /**< When any order was last answered. */
+    uint32_t unreached; /**< Orders in a row that did not leave. */
+    uint64_t heard_us;  /**< When any order was last answered. */
     uint64_t next_look_us;
     struct tab runs;
     struct rn_run *index;
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -10,6 +10,8 @@
 /* Times that a start is ordered while its replies may be mended or do not
  * come. The same run starts once, however often it is ordered. */
 #define MAX_TRIES 5
+/* Orders in a row that did not leave after which the upstream is gone. */
+#define MAX_UNREACHED 3
 /* A stop without an answer is ordered again after this, doubled each time up
  * to the second bound. */
 #define STOP_LEAST_US (50 * US_PER_MS)
@@ -243,6 +245,10 @@
         Rni_End(runner, now, run, CODE_TASK_FAILED);
         return;
     case RN_UNREACHED:
+        if (++runner->unreached >= MAX_UNREACHED) {
+            Rni_Lose(runner);
+        }
+        break;
     case RN_OTHER_LIFE:
         Rni_Lose(runner);
         break;
@@ -258,6 +264,7 @@
 {
     if (reply != RN_NO_ANSWER && reply != RN_UNREACHED) {
         runner->heard_us = now.us;
+        runner->unreached = 0;
     }
 }
 
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -18,6 +18,7 @@
     struct lws_vhost *vhost;
     char name[16];
     int busy;
+    int is_closing; /* Its connection was given up and is not gone yet. */
     int sequence;
     struct lws *wsi;
     hc_done *done;
@@ -69,7 +70,9 @@
 {
     struct hc_lane *lane = lws_container_of(sul, struct hc_lane, timeout);
     if (lane->wsi) {
-        lws_set_opaque_user_data(lane->wsi, NULL);
+        /* A new call would be queued behind the connection until it closes:
+         * the lane rests. */
+        lane->is_closing = 1;
         lws_set_timeout(lane->wsi, PENDING_TIMEOUT_CLOSE_SEND,
                         LWS_TO_KILL_ASYNC);
     }
@@ -174,6 +177,12 @@
     if (!lane) {
         return lws_callback_http_dummy(wsi, reason, user, in, len);
     }
+    if (lane->is_closing) {
+        if (reason == LWS_CALLBACK_WSI_DESTROY) {
+            lane->is_closing = 0;
+        }
+        return lws_callback_http_dummy(wsi, reason, user, in, len);
+    }
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
         lane->sent = 1;
@@ -253,7 +262,7 @@
 {
     for (uint32_t i = 0; i < httpc->lane_count; i++) {
         struct hc_lane *lane = &httpc->lanes[i];
-        if (lane->busy) {
+        if (lane->busy || lane->is_closing) {
             continue;
         }
         if (!lane->vhost) {
