--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -166,6 +166,7 @@
     uint32_t unreached; /**< Orders in a row that did not leave. */
     uint64_t heard_us;  /**< When any order was last answered. */
     uint64_t next_look_us;
+    uint64_t doubt_us; /**< Until then answers may be lost: ask more often. */
     struct tab runs;
     struct rn_run *index;
 };
--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -11,13 +11,20 @@
 #define GONE_US (500 * US_PER_MS)
 /* Time until the next question after one without an answer. */
 #define PAUSE_US (10 * US_PER_MS)
+/* For this long after a lost answer questions wait no longer than the second
+ * figure: an end whose answer is lost holds its room until the next one. */
+#define DOUBT_US (2 * US_PER_S)
+#define DOUBT_WAIT_MS 25
 /* While a stopped run is to vanish from the list it is looked for this
  * often. */
 #define PEEK_PAUSE_US (20 * US_PER_MS)
 
 static uint32_t
-wait_ms(const struct runner *runner)
+wait_ms(const struct runner *runner, struct now now)
 {
+    if (now.us < runner->doubt_us) {
+        return DOUBT_WAIT_MS;
+    }
     return (uint32_t)(runner->lease_us / RENEW_PARTS / US_PER_MS);
 }
 
@@ -32,7 +39,7 @@
     act.look = question->look;
     act.fence = runner->fence;
     act.seen = runner->seen;
-    /* After a failure the leases need renewing more than an end waits. */
+    /* After a failure the leases need renewing at once. */
     act.wait_ms = known && runner->failures == 0 ? ms : 0;
     if (known) {
         act.until_ms = Rni_Until(runner, now);
@@ -50,7 +57,7 @@
         return;
     }
     if (wanted && !runner->wait.look) {
-        ask(runner, now, &runner->wait, wait_ms(runner));
+        ask(runner, now, &runner->wait, wait_ms(runner, now));
         runner->want_peek = 0;
     }
     else if (runner->want_peek && !runner->peek.look) {
@@ -192,6 +199,7 @@
 on_failure(struct runner *runner, struct now now)
 {
     runner->next_look_us = now.us + PAUSE_US;
+    runner->doubt_us = now.us + DOUBT_US;
     if (++runner->failures >= MAX_FAILURES &&
         now.us - runner->heard_us > GONE_US) {
         Rni_Lose(runner);
