--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -141,7 +141,8 @@
 is_stalled(struct now now, const struct rn_run *run)
 {
     uint64_t limit_us = run->expect_ms * US_PER_MS * STALL_FACTOR;
-    uint64_t since_us = run->moved_us ? run->moved_us : run->begun_us;
+    uint64_t since_us =
+        run->moved_us > run->settled_us ? run->moved_us : run->settled_us;
     if (run->state != RN_RUNNING || run->expect_ms == 0) {
         return 0;
     }
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -89,7 +89,7 @@
                  call->id.task, call->id.number, reply_name(reply),
                  http->status);
     }
-    if (http->sent) {
+    if (http->status != 0) {
         note_time(call);
     }
     if (call->type == RN_START) {
