--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -107,6 +107,11 @@
 take_running(struct now now, struct rn_run *run, uint32_t percent)
 {
     run->was_running = 1;
+    if (run->state == RN_STARTING) {
+        /* Its order was carried out, whatever became of the answer. */
+        run->state = RN_RUNNING;
+        run->settled_us = now.us;
+    }
     if (percent > run->percent || run->moved_us == 0) {
         run->percent = percent;
         run->moved_us = now.us;
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -279,6 +279,9 @@
     Rni_NoteClock(runner, now, clock_ms);
     note_reply(runner, now, reply);
     run->order_out = 0;
+    if (run->state == RN_RUNNING) {
+        return;
+    }
     if (reply == RN_DONE) {
         on_started(runner, now, run);
     }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -122,6 +122,16 @@
     }
 }
 
+/* Numbers that a stop or an end has made void. */
+static struct rn_id voided[MAX_ROWS];
+static uint32_t voided_count;
+
+static void
+make_void(const struct rn_id *id)
+{
+    voided[voided_count++ % MAX_ROWS] = *id;
+}
+
 static struct row *
 find_row(const struct rn_id *id)
 {
@@ -151,6 +161,7 @@
 end_row(struct row *row, enum rn_how how)
 {
     row->used = 0;
+    make_void(&row->id);
     if (ended_count == MAX_ROWS) {
         memmove(ended, ended + 1, sizeof(ended) - sizeof(ended[0]));
         ended_count--;
@@ -159,14 +170,10 @@
         (struct rn_ended){.n = ++next_n, .id = row->id, .how = how};
 }
 
-/* Numbers that a stop has made void. */
-static struct rn_id voided[MAX_ROWS];
-static uint32_t voided_count;
-
 static int
 is_void(const struct rn_id *id)
 {
-    for (uint32_t i = 0; i < voided_count; i++) {
+    for (uint32_t i = 0; i < voided_count && i < MAX_ROWS; i++) {
         if (voided[i].job == id->job && voided[i].task == id->task &&
             id->number <= voided[i].number) {
             return 1;
@@ -196,7 +203,7 @@
         }
         break;
     case RN_STOP:
-        voided[voided_count++ % MAX_ROWS] = act->id;
+        make_void(&act->id);
         if (row && !row->stop_ms) {
             row->stop_ms = now_ms + STOP_MS;
         }
@@ -425,13 +432,30 @@
     assert_int_equal(ends, 1);
 }
 
+static void
+an_unanswered_start_is_ordered_again_and_runs_once(void **state)
+{
+    (void)state;
+    meet();
+    lose_starts = 1;
+    late_ms = 2000;
+    start(1, 1, 0);
+    run_for(400);
+    assert_int_equal(ends, 1);
+    assert_int_equal(last_code, CODE_OK);
+    assert_int_equal(starts, 2);
+    run_for(2500);
+    /* The late order found its run over. */
+    assert_int_equal(next_n, 1);
+}
+
 static void
 an_unanswered_start_is_made_void_before_its_end(void **state)
 {
     (void)state;
     run_ms = 5000;
     meet();
-    lose_starts = 1;
+    lose_starts = 5;
     late_ms = 3000;
     start(1, 1, 0);
     run_for(1000);
@@ -449,10 +473,10 @@
     (void)state;
     run_ms = 5000;
     meet();
-    lose_starts = 1;
+    lose_starts = 5;
     late_ms = 1;
     start(1, 1, 0);
-    run_for(400);
+    run_for(800);
     assert_int_equal(ends, 1);
     assert_int_equal(Code_Run(last_code) == CODE_NOT_RUN, 0);
     struct rn_id id = {.job = 1, .number = 1};
@@ -557,6 +581,7 @@
         TEST(a_task_runs_to_its_end),
         TEST(runs_of_before_are_ended_before_it_is_usable),
         TEST(a_stopped_run_keeps_its_row_until_its_end_is_listed),
+        TEST(an_unanswered_start_is_ordered_again_and_runs_once),
         TEST(an_unanswered_start_is_made_void_before_its_end),
         TEST(an_unanswered_start_that_ran_is_stopped),
         TEST(a_new_life_ends_all_runs_at_once),
