Log each decision on a job; test jobs that are not kept

Tests: capacity, dead and cut-off entries, lost and sleeping agents, attempts, callers that leave, members by contact, a burst of twice the capacity.

--- a/core/include/core/act.h
+++ b/core/include/core/act.h
@@ -17,12 +17,35 @@
 
 /** Kind of an action. */
 enum act_type {
-    ACT_SEND,  /**< Send a message to a process. */
-    ACT_REPLY, /**< Answer a caller's connection. */
-    ACT_RUN,   /**< Run a task on the upstream. */
-    ACT_STOP,  /**< Stop a task on the upstream. */
-    ACT_LINK,  /**< Open or replace the connection to a process. */
-    ACT_UNLINK /**< Close the connection to a process. */
+    ACT_SEND,   /**< Send a message to a process. */
+    ACT_REPLY,  /**< Answer a caller's connection. */
+    ACT_RUN,    /**< Run a task on the upstream. */
+    ACT_STOP,   /**< Stop a task on the upstream. */
+    ACT_LINK,   /**< Open or replace the connection to a process. */
+    ACT_UNLINK, /**< Close the connection to a process. */
+    ACT_NOTE,   /**< Log a decision on a job. */
+};
+
+/** Kind of a decision that is logged. */
+enum note_type {
+    NOTE_RETRIED,  /**< A task goes back into the queue. */
+    NOTE_LATE,     /**< A job can no longer end when it is wanted. */
+    NOTE_LOST,     /**< The agent of a task is gone or silent. */
+    NOTE_ORPHANED, /**< A task ends because its entry is not heard. */
+    NOTE_REFUSED,  /**< An agent refuses a start. */
+};
+
+/** A decision on a job, with what decided it. */
+struct act_note {
+    enum note_type type;
+    uint64_t job; /**< The caller's name for it. */
+    uint32_t task;
+    uint32_t attempt;
+    enum code code;
+    const char *node;  /**< Process that it concerns, "" for none. */
+    uint64_t age_us;   /**< Since that process was last heard. */
+    uint32_t free_cpu; /**< Of the upstream, as believed here. */
+    uint32_t waiting;  /**< Tasks that wait here for the service. */
 };
 
 /** Send a message; batched by the shell. */
@@ -63,6 +86,7 @@
         struct act_run run;
         struct act_stop stop;
         struct act_link link;
+        struct act_note note;
     } u;
 };
 
@@ -79,6 +103,14 @@
     sink->emit(sink->context, act);
 }
 
+/** Hand over a decision for the log. */
+static inline void
+Act_Note(const struct act_sink *sink, const struct act_note *note)
+{
+    struct act act = {.type = ACT_NOTE, .u.note = *note};
+    sink->emit(sink->context, &act);
+}
+
 /** Hand over a message for a process. */
 static inline void
 Act_Send(const struct act_sink *sink, uint64_t to, const struct msg *msg)
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -78,6 +78,7 @@
     uint32_t run_us;
     unsigned flags;
     struct resources need;
+    uint64_t name; /**< The caller's name for the job, 0 for none. */
     uint64_t lease_end_us;
     uint64_t stop_us; /**< When to order the stop again, 0 for no stop. */
     uint8_t lapsed;   /**< Stopped because its lease ended. */
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -162,7 +162,7 @@
     struct rn_question wait; /**< The one that waits for an end. */
     struct rn_question peek; /**< One that is answered at once. */
     uint8_t want_peek;
-    uint32_t failures; /**< Questions in a row without an answer. */
+    uint32_t failures;  /**< Questions in a row without an answer. */
     uint32_t unreached; /**< Orders in a row that did not leave. */
     uint64_t heard_us;  /**< When any order was last answered. */
     uint64_t next_look_us;
--- a/core/src/agent/orphan.c
+++ b/core/src/agent/orphan.c
@@ -16,13 +16,27 @@
 }
 
 static void
-end_tasks(struct agent *agent, struct now now, uint64_t from)
+note(struct agent *agent, struct now now, const struct ag_task *task,
+     const struct ag_entry *entry)
+{
+    struct act_note out = {
+        .type = NOTE_ORPHANED, .job = task->name, .task = task->no};
+    out.attempt = task->attempt;
+    out.node = entry->addr;
+    out.age_us = now.us - entry->heard_us;
+    Act_Note(&agent->sink, &out);
+}
+
+static void
+end_tasks(struct agent *agent, struct now now, const struct ag_entry *entry)
 {
     struct ag_task *task;
     DL_FOREACH2(agent->running, task, following)
     {
-        if (task->from == from && task->flags & SUB_RESTART) {
+        if (task->from == entry->incarnation && task->flags & SUB_RESTART &&
+            !task->stop_us) {
             CTR_INC(agent->counters, tasks_orphaned);
+            note(agent, now, task, entry);
             Agi_StopTask(agent, now, task);
         }
     }
@@ -39,7 +53,7 @@
     while ((entry = Tab_Next(&agent->entries, &slot))) {
         if (is_gone(agent, now, entry)) {
             Agi_RevokeFrom(agent, entry->incarnation);
-            end_tasks(agent, now, entry->incarnation);
+            end_tasks(agent, now, entry);
         }
     }
 }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -41,6 +41,14 @@
     result->state = TASK_REFUSED;
     result->code = code;
     Ctr_Code(agent->counters, code);
+    if (start->flags & SUB_RESTART) {
+        struct act_note note = {.type = NOTE_REFUSED,
+                                .job = start->name,
+                                .task = start->task,
+                                .attempt = start->attempt,
+                                .code = code};
+        Act_Note(&agent->sink, &note);
+    }
     Agi_NoteTold(agent, to, result);
     Act_Send(&agent->sink, to, &msg);
 }
@@ -125,6 +133,7 @@
     task->code = CODE_OK;
     task->flags = start->flags;
     task->need = start->need;
+    task->name = start->name;
     task->lease_end_us = now.us + start->lease_ms * US_PER_MS;
     if (start->flags & SUB_REQUEST) {
         agent->calls++;
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -202,6 +202,13 @@
  * refuse those that nothing was started of and whose answer is of no use. */
 void Enti_AgeQueues(struct entry *entry, struct now now);
 
+/* note.c */
+
+/** Log a decision on a task; `task` and `agent` may be NULL. */
+void Enti_Note(const struct entry *entry, struct now now, enum note_type type,
+               const struct ent_job *job, const struct ent_task *task,
+               const struct ent_peer *agent, enum code code);
+
 /* room.c */
 
 /** Tasks that need `need` for which an agent has the resources, as far as is
--- a/core/src/entry/restart.c
+++ b/core/src/entry/restart.c
@@ -36,6 +36,8 @@
         return 0;
     }
     job->maybe_ran = 1;
+    Enti_Note(entry, now, NOTE_RETRIED, job, task,
+              Enti_FindPeer(entry, task->agent), code);
     Enti_Requeue(entry, now, job, task);
     return 1;
 }
@@ -46,6 +48,7 @@
 {
     const struct timing *timing = &entry->settings.timing;
     uint64_t end_us = now.us + timing->lapse_us;
+    Enti_Note(entry, now, NOTE_LOST, job, task, agent, CODE_RUN_LOST);
     if (now.us - agent->heard_us >= timing->clear_us) {
         end_us = now.us;
     }
@@ -84,11 +87,12 @@
             continue;
         }
         if (clear_us + job->longest_us > job->deadline_us) {
+            Enti_Note(entry, now, NOTE_LOST, job, NULL, agent,
+                      CODE_OUTCOME_UNKNOWN);
             Enti_SendCancel(entry, job);
             Enti_Answer(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
         }
     }
-    (void)now;
 }
 
 int
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -140,6 +140,7 @@
         on_unknown(entry, now, job, task, result->code);
         return;
     }
+    Enti_Note(entry, now, NOTE_RETRIED, job, task, agent, result->code);
     Enti_Requeue(entry, now, job, task);
     if (result->code == CODE_UNHEALTHY) {
         agent->suspect = 1;
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "call.h"
 #include "daemon.h"
+#include "notes.h"
 #include "orders.h"
 #include "core/agent.h"
 #include "shell/api.h"
@@ -98,6 +99,9 @@
             Call_Stop(&daemon->calls, act->u.stop.task);
         }
         break;
+    case ACT_NOTE:
+        Notes_Write("tasks", &act->u.note);
+        break;
     case ACT_REPLY:
         break;
     }
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,6 +9,7 @@
 #include "control.h"
 #include "daemon.h"
 #include "ingress.h"
+#include "notes.h"
 #include "pages.h"
 #include "shell/api.h"
 #include "shell/httpd.h"
@@ -103,6 +104,9 @@
     case ACT_UNLINK:
         Link_Close(&daemon->links, act->u.link.peer);
         break;
+    case ACT_NOTE:
+        Notes_Write("jobs", &act->u.note);
+        break;
     case ACT_RUN:
     case ACT_STOP:
         break;
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -15,7 +15,7 @@
 
 /* What is kept with a connection while its job runs. */
 struct waiting {
-    struct key key;
+    struct key key; /**< All 0 for none. */
     uint64_t name;
 };
 
@@ -246,7 +246,18 @@
               const struct answer *answer)
 {
     struct pf_answer out;
+    struct waiting waiting = {.name = 0};
+    uint64_t since_us = 0;
     Pf_WriteAnswer(&out, answer->code, answer->retry_after_ms);
+    if (Hs_GetUser(&ingress->callers, conn, &waiting, sizeof(waiting),
+                   &since_us) == 0) {
+        LOG_INFO("callers",
+                 "Job answered. job=%016" PRIx64 " code=%s status=%d "
+                 "after_ms=%" PRIu64 " retry_after_ms=%u detail=\"%s\"",
+                 waiting.name, Code_Name(answer->code), out.status,
+                 (uint64_t)((Loop_Now().us - since_us) / US_PER_MS),
+                 out.retry_after_ms, answer->detail);
+    }
     reply(ingress, conn, &out);
 }
 
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -85,6 +85,11 @@
 void Hs_SetUser(struct httpd *httpd, conn_id conn, const void *user,
                 size_t size);
 
+/** Give back what was kept, and when the request came in. Returns -1 when the
+ * connection is gone. */
+int Hs_GetUser(const struct httpd *httpd, conn_id conn, void *user,
+               size_t size, uint64_t *since_us);
+
 /** Answer a request. Returns -1 when its connection is gone. */
 int Hs_Reply(struct httpd *httpd, conn_id conn, const struct hs_reply *reply);
 
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -27,6 +27,7 @@
     uint32_t retry_after_s;
     int headers_sent;
     int too_large;
+    uint64_t since_us; /* When the request's headers came in. */
     unsigned char user[HS_USER_SIZE];
 };
 
@@ -181,6 +182,7 @@
     CTR_INC(httpd->counters, http_requests);
     session->conn = Tab_Handle(&httpd->conns, conn);
     conn->wsi = wsi;
+    conn->since_us = Loop_Now().us;
     conn->request.conn =
         session->conn | CONN_BIT | (uint64_t)httpd->tag << TAG_SHIFT;
     read_headers(httpd, wsi, &conn->request);
@@ -393,6 +395,19 @@
     }
 }
 
+int
+Hs_GetUser(const struct httpd *httpd, conn_id id, void *user, size_t size,
+           uint64_t *since_us)
+{
+    const struct conn *conn = get_conn(httpd, id);
+    if (!conn || size > sizeof(conn->user)) {
+        return -1;
+    }
+    memcpy(user, conn->user, size);
+    *since_us = conn->since_us;
+    return 0;
+}
+
 int
 Hs_Reply(struct httpd *httpd, conn_id id, const struct hs_reply *reply)
 {
--- a/tests/conform/world.c
+++ b/tests/conform/world.c
@@ -164,6 +164,7 @@
         stop_run(sim, node, act->u.stop.task);
         break;
     case ACT_LINK:
+    case ACT_NOTE:
     case ACT_UNLINK:
         break;
     }
--- a/tests/net.h
+++ b/tests/net.h
@@ -38,9 +38,10 @@
     struct agent agent;
     struct frame_head head;
     struct ent_member member;
-    int run_ms;  /**< Run time of its tasks, -1 for ever. */
-    int fail;    /**< Tasks end with this code. */
-    int leaving; /**< The upstream takes nothing new. */
+    int run_ms;                /**< Run time of its tasks, -1 for ever. */
+    int fail;                  /**< Tasks end with this code. */
+    int leaving;               /**< The upstream takes nothing new. */
+    struct resources capacity; /**< Of its upstream; all 0: slots count. */
 };
 
 /** A frame on its way. */
@@ -94,7 +95,9 @@
     uint32_t task_capacity;
     enum net_fate (*fate)(struct net *net, const struct net_node *from,
                           const struct net_node *to, const struct msg *msg);
-    int knob; /**< For `fate`. */
+    int knob;             /**< For `fate`. */
+    struct timing timing; /**< Of nodes added from now on; all 0: standard. */
+    int by_contact;       /**< The same. */
 };
 
 static struct net_node *
@@ -201,6 +204,7 @@
         break;
     }
     case ACT_LINK:
+    case ACT_NOTE:
     case ACT_UNLINK:
         break;
     }
@@ -289,6 +293,8 @@
         .job_capacity = net->job_capacity,
         .peer_capacity = 32,
         .key_lifetime_s = 300,
+        .timing = net->timing,
+        .by_contact = (uint8_t)net->by_contact,
     };
     settings.seed[0] = (unsigned char)net->count;
     struct act_sink sink = {net_emit, node};
@@ -308,6 +314,7 @@
         .task_capacity = net->task_capacity,
         .key_lifetime_s = 300,
         .issuer_capacity = 64,
+        .timing = net->timing,
     };
     struct act_sink sink = {net_emit, node};
     assert_int_equal(Ag_Init(&node->agent, &settings, sink, &net->counters),
@@ -440,7 +447,12 @@
             .cores = 8,
             .running = node->agent.busy + node->agent.calls,
             .leaving = (uint8_t)node->leaving,
+            .capacity = node->capacity,
         };
+        if (node->capacity.cpu) {
+            announce.slots = NET_MAX_RUNNING;
+            announce.running = 0;
+        }
         if (net->now.us / 1000 % 500 == 0) {
             Ag_OnAnnounce(&node->agent, net->now, &announce);
         }
--- /dev/null
+++ b/tests/test_restart.c
@@ -0,0 +1,372 @@
+/* Jobs that are not kept: their tasks may run again, never twice at a time.
+ * Entries and agents die, sleep and are cut off; callers submit again. */
+#include "caller.h"
+
+#define RESUBMIT_MS 1300
+#define LEASE_MS 1000
+#define NAME 0x5c0e7a21d94b36f8ull
+
+static struct net net;
+static struct net_node *entry;
+static struct net_node *other;
+static struct net_node *agent;
+static struct net_node *spare;
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    Net_Init(&net);
+    Timing_Derive(&net.timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
+    net.by_contact = 1;
+    agent = Net_AddAgent(&net, "worker-1");
+    spare = Net_AddAgent(&net, "worker-2");
+    agent->capacity = (struct resources){8000, 1024, 0};
+    spare->capacity = agent->capacity;
+    entry = Net_AddEntry(&net, "entry-1");
+    other = Net_AddEntry(&net, "entry-2");
+    Net_Run(&net, 1500);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    Net_Finish(&net);
+    return 0;
+}
+
+/* A job of `tasks` tasks of `cpu` each; returns its key. */
+static struct key
+submit_to(struct net_node *node, conn_id conn, uint64_t name, uint32_t tasks,
+          uint32_t cpu, uint32_t deadline_ms)
+{
+    static struct sub_task list[WIRE_MAX_TASKS];
+    struct submission sub = {
+        .key = Net_Key(node),
+        .service = "finishing",
+        .kind = "edge-check",
+        .deadline_ms = deadline_ms,
+        .flags = SUB_RESTART,
+        .task_count = tasks,
+        .tasks = list,
+        .name = name,
+        .need = {cpu, 64, 0},
+        .max_attempts = 3,
+        .target_ms = 60,
+        .stretch_percent = 160,
+    };
+    for (uint32_t i = 0; i < tasks; i++) {
+        list[i].no = i;
+        list[i].run_ms = 60;
+        list[i].input = (struct bytes){NULL, 0};
+    }
+    Ent_OnSubmit(&node->entry, net.now, conn, &sub);
+    return sub.key;
+}
+
+static uint32_t
+running_at(const struct net_node *node)
+{
+    uint32_t count = 0;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        count += net.runs[i].node == node;
+    }
+    return count;
+}
+
+static void
+capacity_is_never_exceeded(void **state)
+{
+    (void)state;
+    agent->run_ms = 37;
+    spare->run_ms = 71;
+    for (uint32_t i = 0; i < 60; i++) {
+        submit_to(i % 2 ? entry : other, 100 + i, 1000 + i, 3, 3000, 5000);
+        for (int ms = 0; ms < 20; ms++) {
+            Net_Run(&net, 1);
+            assert_true(running_at(agent) * 3000 <= 8000);
+            assert_true(running_at(spare) * 3000 <= 8000);
+            assert_int_equal(agent->agent.used.cpu, 3000 * running_at(agent));
+        }
+    }
+}
+
+static void
+a_dead_entrys_tasks_end_before_its_callers_come_back(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = -1;
+    submit_to(entry, 1, NAME, 4, 3000, 10000);
+    Net_Run(&net, 50);
+    assert_int_equal(running_at(agent) + running_at(spare), 4);
+    Net_Kill(entry);
+    Net_Run(&net, RESUBMIT_MS - 100);
+    assert_int_equal(running_at(agent) + running_at(spare), 0);
+}
+
+/* Loses all between the first entry and the agents; `knob` is 1 for one way
+ * only. */
+static enum net_fate
+cut(struct net *world, const struct net_node *from, const struct net_node *to,
+    const struct msg *msg)
+{
+    (void)msg;
+    if (from->role == ROLE_AGENT && to == entry) {
+        return NET_LOSE;
+    }
+    return world->knob == 0 && from == entry && to->role == ROLE_AGENT
+               ? NET_LOSE
+               : NET_PASS;
+}
+
+static void
+check_cut(void)
+{
+    agent->run_ms = spare->run_ms = -1;
+    submit_to(entry, 1, NAME, 1, 3000, 3000);
+    Net_Run(&net, 50);
+    net.fate = cut;
+    uint64_t from_us = net.now.us;
+    while (Net_Answer(&net, 1) == CODE_PENDING) {
+        Net_Run(&net, 1);
+        assert_true(net.now.us - from_us < 3100 * US_PER_MS);
+    }
+    /* Something of it may have run: it is no refusal. */
+    assert_int_not_equal(Code_Run(Net_Answer(&net, 1)), CODE_NOT_RUN);
+    Net_Run(&net, RESUBMIT_MS);
+    assert_int_equal(running_at(agent) + running_at(spare), 0);
+    submit_to(other, 2, NAME, 1, 3000, 3000);
+    Net_Run(&net, 50);
+    assert_int_equal(running_at(agent) + running_at(spare), 1);
+}
+
+static void
+a_job_cut_off_ends_before_its_caller_comes_back(void **state)
+{
+    (void)state;
+    net.knob = 0;
+    check_cut();
+}
+
+static void
+a_job_cut_off_one_way_ends_before_its_caller_comes_back(void **state)
+{
+    (void)state;
+    net.knob = 1;
+    check_cut();
+}
+
+static void
+a_second_submission_of_a_name_joins_the_first(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = 200;
+    submit_to(entry, 1, NAME, 2, 3000, 3000);
+    Net_Run(&net, 20);
+    submit_to(entry, 2, NAME, 2, 3000, 3000);
+    Net_Run(&net, 400);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    assert_int_equal(Net_Answer(&net, 2), CODE_OK);
+    assert_int_equal(net.start_count, 2);
+}
+
+static void
+a_task_runs_as_often_as_it_may_fail(void **state)
+{
+    (void)state;
+    agent->fail = spare->fail = CODE_TASK_FAILED;
+    submit_to(entry, 1, NAME, 1, 3000, 5000);
+    Net_Run(&net, 2000);
+    assert_int_equal(Net_Answer(&net, 1), CODE_TASK_FAILED);
+    assert_int_equal(net.start_count, 3);
+}
+
+static void
+a_run_that_was_lost_is_no_failed_attempt(void **state)
+{
+    (void)state;
+    agent->fail = spare->fail = CODE_RUN_LOST;
+    submit_to(entry, 1, NAME, 1, 3000, 5000);
+    Net_Run(&net, 700);
+    assert_true(net.start_count > 3);
+    agent->fail = spare->fail = CODE_OK;
+    Net_Run(&net, 200);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+static void
+a_caller_that_leaves_frees_the_room(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = -1;
+    struct key key = submit_to(entry, 1, NAME, 4, 3000, 60000);
+    Net_Run(&net, 50);
+    Ent_OnCallerGone(&entry->entry, net.now, 1, &key);
+    Net_Run(&net, 50);
+    assert_int_equal(running_at(agent) + running_at(spare), 0);
+    assert_int_equal(entry->entry.open_jobs, 0);
+}
+
+static void
+a_caller_that_leaves_does_not_end_what_another_waits_for(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = 300;
+    struct key key = submit_to(entry, 1, NAME, 1, 3000, 5000);
+    submit_to(entry, 2, NAME, 1, 3000, 5000);
+    Net_Run(&net, 50);
+    Ent_OnCallerGone(&entry->entry, net.now, 1, &key);
+    Net_Run(&net, 400);
+    assert_int_equal(Net_Answer(&net, 2), CODE_OK);
+}
+
+static void
+a_lost_agents_task_waits_until_its_lease_is_over(void **state)
+{
+    (void)state;
+    struct net_node *next;
+    agent->run_ms = spare->run_ms = -1;
+    submit_to(entry, 1, NAME, 1, 3000, 20000);
+    Net_Run(&net, 50);
+    struct net_node *first = running_at(agent) ? agent : spare;
+    first->up = 0;
+    next = Net_AddAgent(&net, first->head.node);
+    next->capacity = agent->capacity;
+    next->run_ms = -1;
+    uint32_t starts = net.start_count;
+    Net_Run(&net, LEASE_MS);
+    assert_int_equal(net.start_count, starts);
+    Net_Run(&net, 300);
+    assert_int_equal(net.start_count, starts + 1);
+}
+
+static void
+a_job_without_the_time_for_that_is_answered_at_once(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = -1;
+    submit_to(entry, 1, NAME, 1, 3000, 900);
+    Net_Run(&net, 50);
+    struct net_node *first = running_at(agent) ? agent : spare;
+    first->up = 0;
+    Net_AddAgent(&net, first->head.node);
+    Net_Run(&net, 5);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OUTCOME_UNKNOWN);
+}
+
+static void
+a_start_that_lay_in_a_sleepers_queue_is_refused(void **state)
+{
+    (void)state;
+    spare->up = 0;
+    Net_Run(&net, 1500);
+    agent->asleep = 1;
+    submit_to(entry, 1, NAME, 1, 3000, 900);
+    Net_Run(&net, 2000);
+    assert_int_not_equal(Net_Answer(&net, 1), CODE_PENDING);
+    agent->asleep = 0;
+    Net_Run(&net, 500);
+    assert_int_equal(net.start_count, 0);
+}
+
+static void
+a_member_that_is_heard_outlives_its_row(void **state)
+{
+    (void)state;
+    Ent_OnMemberGone(&entry->entry, net.now, "worker-1", ++net.version);
+    Ent_OnMemberGone(&entry->entry, net.now, "worker-2", net.version);
+    submit_to(entry, 1, NAME, 1, 3000, 900);
+    Net_Run(&net, 200);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+static void
+a_silent_member_without_a_row_is_dropped(void **state)
+{
+    (void)state;
+    Net_Kill(agent);
+    Net_Run(&net, 4000);
+    uint32_t peers = entry->entry.peers.used;
+    Ent_OnMemberGone(&entry->entry, net.now, "worker-1", ++net.version);
+    assert_int_equal(entry->entry.peers.used, peers - 1);
+}
+
+static void
+a_process_is_met_by_its_first_frame(void **state)
+{
+    (void)state;
+    struct net_node *newcomer = Net_AddAgentUnregistered(&net, "worker-3");
+    newcomer->capacity = agent->capacity;
+    Net_Kill(agent);
+    Net_Kill(spare);
+    Ent_OnStranger(&entry->entry, net.now, &newcomer->head);
+    Net_Run(&net, 1000);
+    submit_to(entry, 1, NAME, 1, 3000, 900);
+    Net_Run(&net, 200);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+/* Twice what the workers carry for two seconds, in jobs wanted within
+ * 60 * 1.6 + 60 ms. The workers carry 4 tasks in 60 ms. */
+static void
+a_burst_makes_some_jobs_late_and_not_all(void **state)
+{
+    uint32_t wanted_ms = 60 * 160 / 100 + 60;
+    uint32_t in_time = 0;
+    uint32_t jobs = 0;
+    uint64_t sent_us[300];
+    uint64_t end_us[300] = {0};
+    (void)state;
+    agent->run_ms = spare->run_ms = 60;
+    for (uint32_t ms = 0; ms < 4000; ms++) {
+        if (ms < 2000 && ms % 15 == 0) {
+            sent_us[jobs] = net.now.us;
+            submit_to(jobs % 2 ? entry : other, 10 + jobs, 7000 + jobs, 2,
+                      4000, 2000);
+            jobs++;
+        }
+        Net_Run(&net, 1);
+        for (uint32_t i = 0; i < jobs; i++) {
+            if (!end_us[i] && Net_Answer(&net, 10 + i) != CODE_PENDING) {
+                end_us[i] = net.now.us;
+            }
+        }
+    }
+    for (uint32_t i = 0; i < jobs; i++) {
+        uint64_t took_ms = (end_us[i] - sent_us[i]) / US_PER_MS;
+        int is_served = Net_Answer(&net, 10 + i) == CODE_OK;
+        assert_true(end_us[i] != 0);
+        in_time += is_served && took_ms <= wanted_ms;
+        /* Nobody is kept waiting for an answer of no use. */
+        assert_true(took_ms <= 3 * wanted_ms + 100);
+    }
+    /* Half can be served; four fifths of these in time. */
+    assert_true(in_time * 10 >= jobs * 4);
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        TEST(capacity_is_never_exceeded),
+        TEST(a_dead_entrys_tasks_end_before_its_callers_come_back),
+        TEST(a_job_cut_off_ends_before_its_caller_comes_back),
+        TEST(a_job_cut_off_one_way_ends_before_its_caller_comes_back),
+        TEST(a_second_submission_of_a_name_joins_the_first),
+        TEST(a_task_runs_as_often_as_it_may_fail),
+        TEST(a_run_that_was_lost_is_no_failed_attempt),
+        TEST(a_caller_that_leaves_frees_the_room),
+        TEST(a_caller_that_leaves_does_not_end_what_another_waits_for),
+        TEST(a_lost_agents_task_waits_until_its_lease_is_over),
+        TEST(a_job_without_the_time_for_that_is_answered_at_once),
+        TEST(a_start_that_lay_in_a_sleepers_queue_is_refused),
+        TEST(a_member_that_is_heard_outlives_its_row),
+        TEST(a_silent_member_without_a_row_is_dropped),
+        TEST(a_process_is_met_by_its_first_frame),
+        TEST(a_burst_makes_some_jobs_late_and_not_all),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
