--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -390,6 +390,9 @@
     struct entry_daemon *daemon = context;
     struct now now = Loop_Now();
     Ent_OnTick(&daemon->core, now);
+    if (Adapter_IsOn(daemon->settings)) {
+        Ingress_OnTick(&daemon->ingress);
+    }
     if (daemon->drain_us && now.us >= daemon->drain_us &&
         !daemon->core.draining) {
         Ent_Drain(&daemon->core, now);
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -261,6 +261,14 @@
     reply(ingress, conn, &out);
 }
 
+void
+Ingress_OnTick(struct ingress *ingress)
+{
+    uint32_t most = ingress->control->routes.max_body;
+    ingress->callers.max_body =
+        most && most < HS_MAX_BODY ? most : HS_MAX_BODY;
+}
+
 void
 Ingress_Drain(struct ingress *ingress, uint64_t until_us)
 {
--- a/daemon/ingress.h
+++ b/daemon/ingress.h
@@ -27,6 +27,9 @@
 void Ingress_Reply(struct ingress *ingress, conn_id conn,
                    const struct answer *answer);
 
+/** Time has passed: the limits in force may have changed. */
+void Ingress_OnTick(struct ingress *ingress);
+
 /** Begin a graceful stop: no longer ready, each answer closes its
  * connection. Jobs are taken in until `until_us`. */
 void Ingress_Drain(struct ingress *ingress, uint64_t until_us);
