Do not count on a lease that a lost order may renew

An upstream whose answers get lost was given up as lapsed 1.12 s after the last question, while an order of before, carried out late, had renewed its leases from its own arrival. Now a lapse counts only when no order is lost, or nothing listens at the upstream any more.

Test: a_lost_question_may_renew_the_leases, red without the check.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -100,6 +100,10 @@
     void *context;
 };
 
+/** An order without an answer may be carried out for this long; the users'
+ * platform names 2 to 12 s. */
+#define RN_LATE_US (12 * US_PER_S)
+
 /** State of a run. */
 enum rn_state {
     RN_STARTING, /**< The start is ordered. */
@@ -162,9 +166,11 @@
     struct rn_question wait; /**< The one that waits for an end. */
     struct rn_question peek; /**< One that is answered at once. */
     uint8_t want_peek;
-    uint32_t failures;  /**< Questions in a row without an answer. */
-    uint32_t unreached; /**< Orders in a row that did not leave. */
-    uint64_t heard_us;  /**< When any order was last answered. */
+    uint32_t failures;   /**< Questions in a row without an answer. */
+    uint32_t unreached;  /**< Orders in a row that did not leave. */
+    uint64_t heard_us;   /**< When any order was last answered. */
+    uint64_t late_us;    /**< Until then a lost order may renew the leases. */
+    uint64_t refused_us; /**< When nothing listened at the upstream. */
     uint64_t next_look_us;
     uint64_t doubt_us; /**< Until then answers may be lost: ask more often. */
     struct tab runs;
@@ -207,6 +213,9 @@
 void Rn_OnLook(struct runner *runner, struct now now, uint32_t look,
                enum rn_reply reply, const struct rn_view *view);
 
+/** Nothing listens where the upstream was. */
+void Rn_OnRefused(struct runner *runner, struct now now);
+
 /** Time has passed. */
 void Rn_OnTick(struct runner *runner, struct now now);
 
--- a/core/src/runner/look.c
+++ b/core/src/runner/look.c
@@ -248,6 +248,9 @@
     question->look = 0;
     if (reply != RN_DONE && reply != RN_FENCED) {
         CTR_INC(runner->counters, looks_unanswered);
+        if (reply == RN_NO_ANSWER) {
+            Rni_NoteLost(runner, now);
+        }
         on_failure(runner, now);
         return;
     }
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -278,6 +278,9 @@
     }
     Rni_NoteClock(runner, now, clock_ms);
     note_reply(runner, now, reply);
+    if (reply == RN_NO_ANSWER) {
+        Rni_NoteLost(runner, now);
+    }
     run->order_out = 0;
     if (run->state == RN_RUNNING) {
         return;
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -97,6 +97,7 @@
     runner->seen = 0;
     runner->clock_ms = 0;
     runner->failures = 0;
+    runner->late_us = 0;
     /* Answers of the old life count no more. */
     runner->wait.look = 0;
     runner->peek.look = 0;
@@ -126,11 +127,27 @@
     Rni_Look(runner, now);
 }
 
-/* The lease has run out, however slow the upstream's clock is. An order that
- * was not answered may come later still. */
+void
+Rni_NoteLost(struct runner *runner, struct now now)
+{
+    runner->late_us = now.us + RN_LATE_US + runner->lease_us;
+}
+
+void
+Rn_OnRefused(struct runner *runner, struct now now)
+{
+    runner->refused_us = now.us;
+}
+
+/* The lease has run out, however slow the upstream's clock is. While an order
+ * is lost that may yet renew it, only an upstream that has gone is sure not to
+ * run anything. */
 static int
 is_over(const struct runner *runner, struct now now, const struct rn_run *run)
 {
+    if (now.us < runner->late_us && runner->refused_us <= run->covered_us) {
+        return 0;
+    }
     uint64_t lease_us =
         runner->lease_us * (100 + RNI_CLOCK_SLACK_PERCENT) / 100;
     return (run->was_running || run->state == RN_STOPPED) &&
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -43,6 +43,9 @@
 /** End of a lease that begins now, on the upstream's clock. */
 uint64_t Rni_Until(const struct runner *runner, struct now now);
 
+/** Note that an order which renews the leases had no answer. */
+void Rni_NoteLost(struct runner *runner, struct now now);
+
 /** Note that all leases have been renewed now. */
 void Rni_Cover(struct runner *runner, struct now now);
 
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -74,6 +74,9 @@
     struct order_call *call = context;
     struct runner *runner = &call->orders->runner;
     uint64_t clock_ms;
+    if (http->refused) {
+        Rn_OnRefused(runner, Loop_Now());
+    }
     if (call->type == RN_LOOK) {
         on_view(call, http);
         free(call);
--- a/shell/include/shell/httpc.h
+++ b/shell/include/shell/httpc.h
@@ -15,8 +15,9 @@
 
 /** Outcome of a call; valid only in the callback. */
 struct hc_result {
-    int status; /**< HTTP status, 0 when there was no answer. */
-    int sent;   /**< The request may have reached the server. */
+    int status;  /**< HTTP status, 0 when there was no answer. */
+    int sent;    /**< The request may have reached the server. */
+    int refused; /**< Nothing listens at the address. */
     struct bytes body;
 };
 
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -31,6 +31,7 @@
     char extra[HS_HEADER_SIZE];
     int status;
     int sent;
+    int refused;
     unsigned char *reply;
     size_t reply_size;
     uint32_t timeout_ms;
@@ -47,6 +48,7 @@
     struct hc_result result = {
         .status = status,
         .sent = lane->sent,
+        .refused = lane->refused,
         .body = {lane->reply, (uint32_t)lane->reply_size},
     };
     unsigned char *reply = lane->reply;
@@ -202,6 +204,10 @@
         return 0;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+        /* The library has no number for it, only this text. */
+        lane->refused = !lane->sent &&
+                        reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR && in &&
+                        strcmp(in, "Unable to connect") == 0;
         lws_set_opaque_user_data(wsi, NULL);
         finish_call(lane, 0);
         return 0;
@@ -289,6 +295,7 @@
     lane->context = call->context;
     lane->status = 0;
     lane->sent = 0;
+    lane->refused = 0;
     snprintf(lane->token, sizeof(lane->token), "%s",
              call->token ? call->token : "");
     snprintf(lane->key, sizeof(lane->key), "%s", call->key ? call->key : "");
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -516,8 +516,36 @@
     assert_int_equal(last_code, CODE_OK);
 }
 
+/* A question of before may be carried out now: its lease counts from then. */
 static void
-a_silent_upstream_keeps_its_runs_until_their_lease_is_over(void **state)
+a_lost_question_may_renew_the_leases(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    meet();
+    start(1, 1, 0);
+    run_for(600);
+    is_silent = 1;
+    for (int i = 0; i < 10000; i++) {
+        if (i == 3000 || i == 3900) {
+            until_ms = clock_now() + LEASE_MS;
+        }
+        run_for(1);
+        struct rn_id id = {.job = 1, .number = 1};
+        assert_false(ends && find_row(&id));
+        if (i == 500) {
+            /* It is alive all the while. */
+            until_ms = clock_now() + 5000;
+        }
+    }
+    assert_int_equal(ends, 0);
+    run_for(5000);
+    assert_int_equal(ends, 1);
+}
+
+static void
+an_upstream_that_has_gone_keeps_its_runs_until_their_lease_is_over(
+    void **state)
 {
     (void)state;
     run_ms = 50000;
@@ -526,6 +554,8 @@
     run_for(600);
     is_silent = 1;
     uint64_t from_ms = now_ms;
+    run_for(400);
+    Rn_OnRefused(&runner, now());
     while (ends == 0 && now_ms < from_ms + 5000) {
         struct rn_id id = {.job = 1, .number = 1};
         int ran = find_row(&id) != NULL;
@@ -587,7 +617,9 @@
         TEST(an_unanswered_start_that_ran_is_found_in_the_lists),
         TEST(a_new_life_ends_all_runs_at_once),
         TEST(a_late_word_of_an_earlier_life_changes_nothing),
-        TEST(a_silent_upstream_keeps_its_runs_until_their_lease_is_over),
+        TEST(a_lost_question_may_renew_the_leases),
+        TEST(
+            an_upstream_that_has_gone_keeps_its_runs_until_their_lease_is_over),
         TEST(a_lower_number_is_raised),
         TEST(a_task_without_progress_is_stopped),
         TEST(leases_are_renewed_while_a_task_runs),
