Know the upstream again after an agent's restart

An agent whose process was killed waited for its upstream's next heartbeat, up to 1.5 s, to learn its capacity. It keeps that in its own row now, with the life of the upstream that it is true for, and registers at once.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -240,6 +240,20 @@
     Ag_OnRegistered(&daemon->core, version);
 }
 
+static void
+on_found(void *context, const json_t *note)
+{
+    struct agent_daemon *daemon = context;
+    Orders_ReadNote(&daemon->orders, note);
+}
+
+static void
+on_ready(void *context)
+{
+    struct agent_daemon *daemon = context;
+    Reg_SetNote(&daemon->registry, Orders_WriteNote(&daemon->orders));
+}
+
 static void
 check_stop(struct agent_daemon *daemon, struct now now)
 {
@@ -326,6 +340,10 @@
                         &daemon->core, &daemon->counters, err)) {
             return -1;
         }
+        daemon->orders.ready = on_ready;
+        daemon->orders.context = daemon;
+        daemon->registry.found = on_found;
+        Reg_Step(&daemon->registry);
     }
     Loop_OnFlush(&daemon->loop, on_flush, daemon);
     if (Loop_Every(&daemon->loop, &daemon->tick, TICK_US, on_tick, daemon) ||
@@ -356,6 +374,7 @@
     Call_Finish(&daemon.calls);
     if (Adapter_IsOn(settings)) {
         Orders_Finish(&daemon.orders);
+        Reg_Finish(&daemon.registry);
     }
     Store_Finish(&daemon.store);
     Ag_Finish(&daemon.core);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -487,6 +487,7 @@
             return -1;
         }
         Store_Follow(&daemon->store, on_followed, daemon);
+        Reg_Step(&daemon->registry);
     }
     Loop_OnFlush(&daemon->loop, on_flush, daemon);
     if (Loop_Every(&daemon->loop, &daemon->tick, TICK_US, on_tick, daemon) ||
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -163,12 +163,18 @@
         on_end(orders, act);
         break;
     case RN_READY:
+        if (orders->beat.born_ms != orders->runner.born_ms) {
+            /* What is known is of an earlier life: its next heartbeat tells.
+             */
+            break;
+        }
         LOG_INFO("upstream",
                  "Usable. id=%s born_ms=%" PRIu64 " fence=%" PRIu64 " cpu=%u",
                  orders->beat.id, orders->runner.born_ms, orders->runner.fence,
                  orders->beat.offer.capacity.cpu);
         Ag_OnAnnounce(orders->core, Loop_Now(), &orders->beat.offer);
         Ag_TellAll(orders->core);
+        orders->ready(orders->context);
         break;
     case RN_GONE:
         LOG_WARN("upstream", "Not usable. id=%s born_ms=%" PRIu64,
@@ -204,7 +210,8 @@
     orders->is_known = 1;
     memcpy(orders->address, beat->address, sizeof(orders->address));
     Rn_OnAnnounce(&orders->runner, now, beat->born_ms, beat->clock_ms);
-    if (Rn_IsUsable(&orders->runner)) {
+    if (Rn_IsUsable(&orders->runner) &&
+        beat->born_ms == orders->runner.born_ms) {
         Ag_OnAnnounce(orders->core, now, &beat->offer);
         if (beat->offer.leaving && !was_leaving) {
             Ag_TellAll(orders->core);
@@ -283,6 +290,45 @@
     Rn_Finish(&orders->runner);
 }
 
+json_t *
+Orders_WriteNote(const struct orders *orders)
+{
+    const struct pf_beat *beat = &orders->beat;
+    const struct resources *all = &beat->offer.capacity;
+    return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", beat->id,
+                     "address", beat->address, "service", beat->offer.service,
+                     "born_ms", (json_int_t)beat->born_ms, "cpu",
+                     (json_int_t)all->cpu, "memory_mb",
+                     (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu);
+}
+
+void
+Orders_ReadNote(struct orders *orders, const json_t *note)
+{
+    struct pf_beat beat = {0};
+    const char *id;
+    const char *address;
+    const char *service;
+    json_int_t born_ms;
+    json_int_t cpu;
+    json_int_t memory_mb;
+    json_int_t gpu;
+    if (orders->is_known ||
+        json_unpack((json_t *)note, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", &id,
+                    "address", &address, "service", &service, "born_ms",
+                    &born_ms, "cpu", &cpu, "memory_mb", &memory_mb, "gpu",
+                    &gpu)) {
+        return;
+    }
+    snprintf(beat.id, sizeof(beat.id), "%s", id);
+    snprintf(beat.address, sizeof(beat.address), "%s", address);
+    beat.born_ms = (uint64_t)born_ms;
+    struct resources all = {(uint32_t)cpu, (uint32_t)memory_mb, (uint32_t)gpu};
+    Pf_FillOffer(&beat.offer, service, &all);
+    LOG_INFO("upstream", "Known from the process before. id=%s", beat.id);
+    take_beat(orders, &beat);
+}
+
 void
 Orders_Run(struct orders *orders, const struct act_run *run)
 {
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -10,6 +10,9 @@
 /** Prefix of the members' rows. */
 #define REG_PREFIX "member/"
 
+/** Called with the note in the row of the process before this one. */
+typedef void reg_found(void *context, const json_t *note);
+
 /** Called when the own row has been committed at `version`. */
 typedef void reg_done(void *context, uint64_t version);
 
@@ -21,8 +24,11 @@
     uint64_t row_version; /**< Of the row that the own one replaces. */
     uint64_t registered;  /**< Version of the own row, 0 before it. */
     int row_replaced;
-    int keep; /**< A row that is gone is written again. */
-    int lost; /**< The own row was replaced or removed. */
+    int keep;         /**< A row that is gone is written again. */
+    json_t *note;     /**< Kept in the own row; owned, NULL for none. */
+    int is_stale;     /**< The row does not hold the note yet. */
+    reg_found *found; /**< NULL for none. */
+    int lost;         /**< The own row was replaced or removed. */
     int verifying;
     int busy;
     reg_done *done;
@@ -34,6 +40,13 @@
               const struct settings *settings, uint64_t incarnation,
               reg_done *done, void *context);
 
+/** Keep a note in the own row, for the next process of this node. The note
+ * is given up. */
+void Reg_SetNote(struct registry *registry, json_t *note);
+
+/** Free what it owns. */
+void Reg_Finish(struct registry *registry);
+
 /** Take the next step: read the old row, then commit the own. Call it again
  * and again until `registered` is set. */
 void Reg_Step(struct registry *registry);
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -77,6 +77,8 @@
            strcmp(role, "entry") != 0;
 }
 
+static void commit_row(struct registry *registry);
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
@@ -103,13 +105,21 @@
         }
         registry->row_version = version;
         registry->row_replaced = is_loss(registry, value);
-        if (Reg_ReadMember(&member, name, value, version) == 0 &&
-            member.incarnation == registry->incarnation) {
+        int is_own = Reg_ReadMember(&member, name, value, version) == 0 &&
+                     member.incarnation == registry->incarnation;
+        if (is_own && !registry->is_stale) {
             found_registered(registry, version);
             return;
         }
+        const json_t *note = json_object_get(value, "note");
+        if (!is_own && note && registry->found) {
+            registry->found(registry->context, note);
+        }
     }
     registry->busy = 2;
+    if (registry->keep) {
+        commit_row(registry);
+    }
 }
 
 static void
@@ -120,6 +130,7 @@
      * finds the own row if the write took effect. */
     registry->busy = 0;
     if (result->code == CODE_OK) {
+        registry->is_stale = 0;
         json_t *version = json_object_get(result->body, "version");
         found_registered(registry, (uint64_t)json_integer_value(version));
     }
@@ -142,11 +153,37 @@
         settings->public_internal, "http", settings->listen_http,
         "data_centre", settings->data_centre, "region", settings->region,
         "rack", settings->rack, "replaced", registry->row_replaced);
+    if (registry->note) {
+        json_t *write = json_array_get(json_object_get(change, "writes"), 0);
+        json_object_set(json_object_get(write, "value"), "note",
+                        registry->note);
+    }
     registry->busy = 1;
     Store_Commit(registry->store, change, on_commit, registry);
     json_decref(change);
 }
 
+void
+Reg_SetNote(struct registry *registry, json_t *note)
+{
+    if (json_equal(registry->note, note)) {
+        json_decref(note);
+        return;
+    }
+    json_decref(registry->note);
+    registry->note = note;
+    registry->is_stale = 1;
+    registry->registered = 0;
+    Reg_Step(registry);
+}
+
+void
+Reg_Finish(struct registry *registry)
+{
+    json_decref(registry->note);
+    registry->note = NULL;
+}
+
 void
 Reg_Step(struct registry *registry)
 {
