--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -4,6 +4,8 @@
 #ifndef DAEMON_ORDERS_H
 #define DAEMON_ORDERS_H
 
+#include <jansson.h>
+
 #include "core/agent.h"
 #include "core/runner.h"
 #include "platform/upstream.h"
