--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -259,30 +259,33 @@
     Rni_End(runner, now, run, wanted ? CODE_NO_UPSTREAM : run->code);
 }
 
-static void
-note_reply(struct runner *runner, struct now now, enum rn_reply reply)
+/* The run whose order got a reply; NULL when it is over. */
+static struct rn_run *
+take_reply(struct runner *runner, struct now now, tab_handle handle,
+           enum rn_reply reply, uint64_t clock_ms)
 {
+    struct rn_run *run = Tab_Get(&runner->runs, handle);
+    if (!run) {
+        return NULL;
+    }
+    run->order_out = 0;
+    Rni_NoteClock(runner, now, clock_ms);
     if (reply != RN_NO_ANSWER && reply != RN_UNREACHED) {
         runner->heard_us = now.us;
         runner->unreached = 0;
     }
+    return run;
 }
 
 void
 Rn_OnStarted(struct runner *runner, struct now now, tab_handle handle,
              enum rn_reply reply, uint64_t clock_ms)
 {
-    struct rn_run *run = Tab_Get(&runner->runs, handle);
-    if (!run) {
-        return;
-    }
-    Rni_NoteClock(runner, now, clock_ms);
-    note_reply(runner, now, reply);
-    if (reply == RN_NO_ANSWER) {
+    struct rn_run *run = take_reply(runner, now, handle, reply, clock_ms);
+    if (run && reply == RN_NO_ANSWER) {
         Rni_NoteLost(runner, now);
     }
-    run->order_out = 0;
-    if (run->state == RN_RUNNING) {
+    if (!run || run->state == RN_RUNNING) {
         return;
     }
     if (reply == RN_DONE) {
@@ -310,13 +313,10 @@
 Rn_OnStopped(struct runner *runner, struct now now, tab_handle handle,
              enum rn_reply reply, uint64_t clock_ms)
 {
-    struct rn_run *run = Tab_Get(&runner->runs, handle);
+    struct rn_run *run = take_reply(runner, now, handle, reply, clock_ms);
     if (!run) {
         return;
     }
-    Rni_NoteClock(runner, now, clock_ms);
-    note_reply(runner, now, reply);
-    run->order_out = 0;
     if (reply == RN_DONE) {
         run->state = RN_STOPPED;
         run->settled_us = now.us;
