--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -99,6 +99,7 @@
     double pace;                  /**< Run times there over those expected. */
     uint8_t suspect;              /**< The agent says that its worker fails. */
     uint32_t pace_count;          /**< Tasks behind `pace`, up to a bound. */
+    uint64_t pace_us;             /**< When the latest of them ended. */
     struct policy policy;         /**< In force for tasks that run there. */
     uint64_t config;              /**< Configuration that it has applied. */
     uint64_t members;             /**< Rows that it has applied; entries. */
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -239,8 +239,9 @@
 uint64_t Enti_ExpectUs(const struct ent_kind *kind, uint32_t declared_ms);
 
 /** Learn from a task that ended well. */
-void Enti_Learn(const struct ent_job *job, const struct ent_task *task,
-                struct ent_peer *agent, uint32_t run_us);
+void Enti_Learn(struct now now, const struct ent_job *job,
+                const struct ent_task *task, struct ent_peer *agent,
+                uint32_t run_us);
 
 /* queue.c */
 
--- a/core/src/entry/learn.c
+++ b/core/src/entry/learn.c
@@ -8,6 +8,8 @@
 #define GUESS_US (200 * US_PER_MS)
 /* Weight of the past, in tasks. */
 #define MEMORY_TASKS 64
+/* The same for the pace of one agent, which may change within seconds. */
+#define PACE_MEMORY_TASKS 12
 /* Tasks after which declared times are corrected by what was seen. */
 #define TRUST_TASKS 4
 /* Bounds on how slow or fast one agent is taken to be. */
@@ -76,31 +78,34 @@
 }
 
 static double
-blend(double mean, double value, uint32_t *count)
+blend(double mean, double value, uint32_t *count, uint32_t memory)
 {
-    if (*count < MEMORY_TASKS) {
+    if (*count < memory) {
         (*count)++;
     }
     return mean + (value - mean) / *count;
 }
 
 void
-Enti_Learn(const struct ent_job *job, const struct ent_task *task,
-           struct ent_peer *agent, uint32_t run_us)
+Enti_Learn(struct now now, const struct ent_job *job,
+           const struct ent_task *task, struct ent_peer *agent,
+           uint32_t run_us)
 {
     struct ent_kind *kind = job->kind_row;
     double expect_us = (double)Enti_ExpectUs(kind, task->run_ms);
     int is_known = kind->count >= TRUST_TASKS;
-    kind->mean_us = blend(kind->mean_us, run_us, &kind->count);
+    kind->mean_us = blend(kind->mean_us, run_us, &kind->count, MEMORY_TASKS);
     if (task->run_ms) {
         double factor = run_us / (task->run_ms * (double)US_PER_MS);
         kind->per_declared =
-            blend(kind->per_declared, factor, &kind->declared);
+            blend(kind->per_declared, factor, &kind->declared, MEMORY_TASKS);
     }
     if (is_known && expect_us > 0) {
         double pace = run_us / expect_us;
         pace = pace < LEAST_PACE ? LEAST_PACE : pace;
         pace = pace > MOST_PACE ? MOST_PACE : pace;
-        agent->pace = blend(agent->pace, pace, &agent->pace_count);
+        agent->pace_us = now.us;
+        agent->pace =
+            blend(agent->pace, pace, &agent->pace_count, PACE_MEMORY_TASKS);
     }
 }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -7,7 +7,10 @@
 /* The baseline places a refused task again after this. */
 #define BASELINE_RETRY_US (50 * US_PER_MS)
 /* Tasks after which the pace of an agent counts. */
-#define PACE_TASKS 8
+#define PACE_TASKS 4
+/* A pace that is older than this says nothing: a slow agent is used last, and
+ * would not be tried again. */
+#define PACE_LIFE_US (3 * US_PER_S)
 /* Waiting tasks for each start beyond the slots of an agent. */
 #define DEEP_QUEUE 16
 /* Jobs of a queue looked at for one that can be placed. */
@@ -62,10 +65,12 @@
 }
 
 static int
-is_slow(const struct entry *entry, const struct ent_peer *agent)
+is_slow(const struct entry *entry, struct now now,
+        const struct ent_peer *agent)
 {
     const struct policy *policy = Enti_AgentPolicy(entry, agent);
     return agent->pace_count >= PACE_TASKS &&
+           now.us - agent->pace_us < PACE_LIFE_US &&
            agent->pace * 100 > (double)policy->value[POL_SLOW_PERCENT];
 }
 
@@ -73,15 +78,15 @@
  * the next free slot is sure to be used: then no slot is idle for the time
  * of a round trip. Only where a slot is soon free. */
 static uint32_t
-spare_room(const struct entry *entry, const struct ent_service *service,
-           const struct ent_peer *agent)
+spare_room(const struct entry *entry, struct now now,
+           const struct ent_service *service, const struct ent_peer *agent)
 {
     const struct policy *policy = Enti_Policy(entry, service->name, "");
     uint32_t spare = (uint32_t)policy->value[POL_HOLD_TASKS];
     uint32_t used = agent->outstanding + agent->others;
     uint32_t full = agent->slots + spare;
     if (service->waiting < DEEP_QUEUE * spare || agent->slots == 0 ||
-        is_slow(entry, agent)) {
+        is_slow(entry, now, agent)) {
         return 0;
     }
     return used >= agent->slots && used < full ? full - used : 0;
@@ -136,7 +141,7 @@
         uint32_t room = room_for(now, agent, job);
         uint32_t spare = 0;
         if (room == 0 && !(job->flags & SUB_REQUEST)) {
-            spare = spare_room(entry, job->service, agent);
+            spare = spare_room(entry, now, job->service, agent);
         }
         if (room + spare == 0 || !Enti_IsUsable(entry, now, agent) ||
             !may_run(agent, job)) {
@@ -148,7 +153,7 @@
         }
         int near = strcmp(agent->member.dc, entry->settings.dc) == 0;
         int index = near ? NEAR : room > 1 ? FAR : TIGHT;
-        if (is_slow(entry, agent)) {
+        if (is_slow(entry, now, agent)) {
             index = SLOW;
         }
         consider(entry, &choices[index], agent, room, index == NEAR);
@@ -408,9 +413,9 @@
         if (!Enti_IsUsable(entry, now, agent)) {
             continue;
         }
-        service->fast_slots += is_slow(entry, agent) ? 0 : agent->slots;
+        service->fast_slots += is_slow(entry, now, agent) ? 0 : agent->slots;
         service->room += free_room(now, agent, 0);
-        service->room += spare_room(entry, service, agent);
+        service->room += spare_room(entry, now, service, agent);
     }
     if (entry->settings.mode == ENT_BASELINE) {
         service->room = service->waiting;
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -165,7 +165,7 @@
         task->resend_us = now.us + RUNNING_RESEND_US;
         break;
     case TASK_FINISHED:
-        Enti_Learn(job, task, agent, result->run_us);
+        Enti_Learn(now, job, task, agent, result->run_us);
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
