--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -2,6 +2,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -80,10 +81,11 @@
     struct err err = {0};
     (void)state;
     for (int over = 0; over < 2; over++) {
-        strcpy(body, "{\"steps\":[{\"count\":1}],\"specification\":\"");
-        size_t at = strlen(body);
+        int at = snprintf(body, 200,
+                          "{\"steps\":[{\"count\":1}],"
+                          "\"specification\":\"");
         memset(body + at, 'x', 4000 + (size_t)over);
-        strcpy(body + at + 4000 + over, "\"}");
+        snprintf(body + at + 4000 + over, 3, "\"}");
         assert_int_equal(Pf_ReadJob(&job, text(body), &err), -over);
         Pf_FreeJob(&job);
     }
