Ignore the end of an earlier attempt of a restartable task

An agent that had been silent was heard again; its task had been placed there a second time when the end of the first attempt came in, and the entry placed it a third time elsewhere, 11 ms later, beside the second. Refusals were matched by attempt, failures were not.

Ruled out: late orders (the runs were started by agents that were heard), two entries (the numbers rise by one).

Test: a_late_result_of_an_earlier_attempt_places_nothing, red before.

--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -169,6 +169,11 @@
         finish_task(entry, job, task, result->output);
         break;
     case TASK_FAILED:
+        if (Enti_IsRestartable(job) && result->attempt != task->attempt) {
+            /* Long on its way: the present attempt may run there by now. */
+            CTR_INC(entry->counters, result_stale);
+            break;
+        }
         if (Enti_Retry(entry, now, job, task, result->code)) {
             break;
         }
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -196,6 +196,34 @@
     assert_int_equal(Net_Answer(&net, 1), CODE_OK);
 }
 
+/* The end of an attempt comes when the next one runs already. */
+static void
+a_late_result_of_an_earlier_attempt_places_nothing(void **state)
+{
+    struct msg msg = {.type = MSG_RESULT};
+    (void)state;
+    Net_Kill(spare);
+    Net_Run(&net, 1000);
+    agent->run_ms = 20;
+    agent->fail = CODE_RUN_LOST;
+    struct key key = submit_to(entry, 1, NAME, 1, 3000, 5000);
+    Net_Run(&net, 10);
+    agent->run_ms = -1;
+    Net_Run(&net, 100);
+    assert_int_equal(net.start_count, 2);
+    assert_int_equal(running_at(agent), 1);
+    msg.u.result.key = key;
+    msg.u.result.epoch = (struct epoch){1, entry->head.from};
+    msg.u.result.attempt = 1;
+    msg.u.result.state = TASK_FAILED;
+    msg.u.result.code = CODE_RUN_LOST;
+    Ent_OnMessage(&entry->entry, net.now, &agent->head, &msg);
+    assert_int_equal(entry->entry.open_jobs, 1);
+    assert_int_equal(entry->entry.open[0]->waiting, 0);
+    Net_Run(&net, 50);
+    assert_int_equal(entry->entry.open[0]->tasks[0].attempt, 2);
+}
+
 static void
 a_caller_that_leaves_frees_the_room(void **state)
 {
@@ -388,6 +416,7 @@
         TEST(a_second_submission_of_a_name_joins_the_first),
         TEST(a_task_runs_as_often_as_it_may_fail),
         TEST(a_run_that_was_lost_is_no_failed_attempt),
+        TEST(a_late_result_of_an_earlier_attempt_places_nothing),
         TEST(a_caller_that_leaves_frees_the_room),
         TEST(a_caller_that_leaves_does_not_end_what_another_waits_for),
         TEST(a_lost_agents_task_waits_until_its_lease_is_over),
