--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -49,7 +49,6 @@
     X(starts_held, "starts that waited at an agent for a slot")               \
     X(holds_refused, "starts that waited at an agent and were refused")       \
     X(tasks_orphaned, "tasks ended because their entry was not heard")        \
-    X(starts_stale, "starts refused because they had been long on their way") \
     X(strangers, "processes met by a frame for an earlier one")               \
     X(starts_unanswered, "starts at an upstream that got no answer")          \
     X(stops_unanswered, "stops at an upstream that were not acknowledged")    \
@@ -58,7 +57,6 @@
     X(runs_unknown, "runs found at an upstream that nobody here asked for")   \
     X(beats_old, "heartbeats of an upstream that came late")                  \
     X(beats_bad, "heartbeats of an upstream that could not be read")          \
-    X(log_dropped, "lines of the log that were dropped")                      \
     X(news_sent, "offers sent because the free slots had changed")            \
     X(workers_suspected, "times that a worker was put out for failures")      \
     X(upstream_errors, "failed calls of the upstream")                        \
--- a/base/src/counter.c
+++ b/base/src/counter.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "base/code.h"
+#include "base/log.h"
 
 static const char *const names[] = {
 #define X(name, help) #name,
@@ -45,6 +46,7 @@
     for (int i = 0; i < CTR_COUNT; i++) {
         used += print_line(out, size, used, names[i], counters->value[i]);
     }
+    used += print_line(out, size, used, "log_dropped", Log_Dropped());
     for (unsigned i = 0; i < CODE_ROWS; i++) {
         char name[64];
         snprintf(name, sizeof(name), "code{code=\"%d\",name=\"%s\"}",
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -3,9 +3,12 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <unistd.h>
+#include <fcntl.h>
 
 #include <string.h>
 
+#include "base/log.h"
 #include "base/code.h"
 #include "base/counter.h"
 #include "base/err.h"
@@ -71,6 +74,28 @@
     assert_non_null(strstr(text, "name=\"QUEUE_FULL\"} 1\n"));
 }
 
+static void
+the_log_is_bounded(void **state)
+{
+    int saved = dup(STDOUT_FILENO);
+    int sink = open("/dev/null", O_WRONLY);
+    char text[65536];
+    struct counters counters = {{0}, {0}};
+    (void)state;
+    assert_true(saved >= 0 && sink >= 0);
+    dup2(sink, STDOUT_FILENO);
+    for (int i = 0; i < 5000; i++) {
+        LOG_INFO("test", "A line. number=%d", i);
+    }
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    close(sink);
+    assert_true(Log_Dropped() > 1000);
+    assert_true(Log_Dropped() < 5000);
+    assert_true(Ctr_Print(&counters, text, sizeof(text)) > 0);
+    assert_non_null(strstr(text, "jacinthpick_log_dropped "));
+}
+
 int
 main(void)
 {
@@ -79,6 +104,7 @@
         cmocka_unit_test(full_table_gives_no_row),
         cmocka_unit_test(first_error_is_kept),
         cmocka_unit_test(counters_print_by_name_and_code),
+        cmocka_unit_test(the_log_is_bounded),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
