Read the settings again at SIGHUP and when their file changes

Cause: SIGHUP was logged and nothing more; a changed file was not noticed. Settings that nothing depends on at run time (log level, operators' tokens, limits of a stop and of forgetting members) now take effect at once; what waits for the next start is named in the log. Scenarios keep the logs of a run that failed, and a process that is started again writes on.

Before: a changed file had no effect and no line.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -23,6 +23,7 @@
 
 struct agent_daemon {
     const struct settings *settings;
+    struct reload *reload;
     struct counters counters;
     struct key_secret secret;
     struct loop loop;
@@ -282,9 +283,7 @@
     if (Adapter_IsOn(daemon->settings)) {
         Orders_OnTick(&daemon->orders, now);
     }
-    if (Stop_TakeReload()) {
-        LOG_INFO("agent", "SIGHUP: settings are read at the next start.");
-    }
+    Reload_OnTick(daemon->reload, now);
     AgentConfig_OnTick(&daemon->config, now);
     check_stop(daemon, now);
 }
@@ -355,11 +354,13 @@
 }
 
 int
-Agent_Main(const struct settings *settings)
+Agent_Main(struct reload *reload)
 {
     static struct agent_daemon daemon;
     struct err err = {0};
+    const struct settings *settings = reload->settings;
     daemon.settings = settings;
+    daemon.reload = reload;
     if (start(&daemon, &err)) {
         LOG_ERROR("agent", "Cannot start: %s.", err.text);
         return 1;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -5,6 +5,7 @@
 #define DAEMON_H
 
 #include "core/clock.h"
+#include "reload.h"
 #include "shell/settings.h"
 #include "wire/msg.h"
 
@@ -22,10 +23,10 @@
 #define STOP_FLUSH_US 300000ull
 
 /** Run an entry until it is stopped. Returns the exit code. */
-int Entry_Main(const struct settings *settings);
+int Entry_Main(struct reload *reload);
 
 /** Run an agent until it is stopped. Returns the exit code. */
-int Agent_Main(const struct settings *settings);
+int Agent_Main(struct reload *reload);
 
 /** Fill what frames of this process say of their sender. */
 void Head_Fill(struct frame_head *head, const struct settings *settings,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -16,6 +16,7 @@
 
 struct entry_daemon {
     const struct settings *settings;
+    struct reload *reload;
     struct counters counters;
     struct key_secret secret;
     struct loop loop;
@@ -185,9 +186,7 @@
         !daemon->core.draining) {
         Ent_Drain(&daemon->core, now);
     }
-    if (Stop_TakeReload()) {
-        LOG_INFO("entry", "SIGHUP: settings are read at the next start.");
-    }
+    Reload_OnTick(daemon->reload, now);
     Control_OnTick(&daemon->control, now);
     check_stop(daemon, now);
 }
@@ -290,11 +289,13 @@
 }
 
 int
-Entry_Main(const struct settings *settings)
+Entry_Main(struct reload *reload)
 {
     static struct entry_daemon daemon;
     struct err err = {0};
+    const struct settings *settings = reload->settings;
     daemon.settings = settings;
+    daemon.reload = reload;
     if (start(&daemon, &err)) {
         LOG_ERROR("entry", "Cannot start: %s.", err.text);
         return 1;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -25,6 +25,7 @@
     "\n"
     "SIGTERM stops gracefully: no new work is taken, nothing in progress is\n"
     "cut off. A second SIGTERM, or the setting stop_limit_s, ends it.\n"
+    "SIGHUP reads the settings again, as does a change of the file.\n"
     "\n"
     "Exit codes: 0 stopped, 1 failure, 2 usage, 3 settings not valid.\n";
 
@@ -37,17 +38,19 @@
 };
 
 static int
-run(const struct settings *settings)
+run(struct settings *settings, const char *file)
 {
+    struct reload reload;
     enum log_level level;
     if (Log_ParseLevel(settings->log_level, &level) == 0) {
         Log_SetLevel(level);
     }
     Stop_Init();
+    Reload_Init(&reload, settings, file);
     if (strcmp(settings->role, "entry") == 0) {
-        return Entry_Main(settings);
+        return Entry_Main(&reload);
     }
-    return Agent_Main(settings);
+    return Agent_Main(&reload);
 }
 
 int
@@ -93,5 +96,5 @@
         fputs("jacinthpickd: no random numbers\n", stderr);
         return 1;
     }
-    return run(&settings);
+    return run(&settings, file);
 }
--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -13,7 +13,8 @@
 start() { # name command...
   local name=$1
   shift
-  "$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+  # A process that is started again writes on where the one before ended.
+  "$@" >>"$WORK/$name.out" 2>>"$WORK/$name.log" &
   disown
   PIDS+=($!)
   eval "PID_${name//-/_}=$!"
@@ -27,6 +28,21 @@
   sleep 0.1
 }
 
+# For a trap on EXIT: ends the processes, and keeps what they wrote when the
+# scenario failed.
+clean_up() {
+  local status=$?
+  stop_all
+  if [ "$status" -ne 0 ]; then
+    local kept
+    mkdir -p out/failed
+    kept=$(mktemp -d "out/failed/$(basename "$0")-XXXXXX")
+    cp -r "$WORK/." "$kept"
+    echo "logs: $kept"
+  fi
+  rm -rf "$WORK"
+}
+
 settings() { # role node data_centre http_port internal_port
   local public=$5
   case " ${RELAYED:-} " in *" $2 "*) public=$(($5 + 400)) ;; esac
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -55,7 +55,22 @@
 int Set_Parse(struct settings *settings, const char *text, size_t size,
               struct err *err);
 
-/** Print all settings with their ranges and defaults, one a line. */
+/** Room for a list of names of settings. */
+#define SET_NAMES_SIZE 512
+
+/** What a changed settings file asks for, names joined by commas. */
+struct set_change {
+    char taken[SET_NAMES_SIZE];   /**< In force from now on. */
+    char waiting[SET_NAMES_SIZE]; /**< In force at the next start. */
+};
+
+/** Take over those settings from `fresh` that may change while the process
+ * runs, and tell what differs. */
+void Set_TakeLive(struct settings *settings, const struct settings *fresh,
+                  struct set_change *change);
+
+/** Print all settings, one a line: name, allowed, default, meaning, when a
+ * change takes effect. */
 void Set_Describe(FILE *out);
 
 #endif
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -90,6 +90,25 @@
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
 
+/* Settings that take effect while the process runs. */
+static const char *const live_names[] = {
+    "log_level",
+    "operator_token_hashes",
+    "stop_limit_s",
+    "forget_member_s",
+};
+
+static int
+is_live(const struct spec *spec)
+{
+    for (size_t i = 0; i < sizeof(live_names) / sizeof(live_names[0]); i++) {
+        if (strcmp(live_names[i], spec->name) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 static const struct spec *
 find_spec(const char *name)
 {
@@ -265,22 +284,64 @@
     return Set_Parse(settings, text, size, err);
 }
 
+static size_t
+value_size(const struct spec *spec)
+{
+    switch (spec->kind) {
+    case KIND_INT:
+        return sizeof(int64_t);
+    case KIND_ADDR:
+        return WIRE_ADDR_SIZE;
+    default:
+        return (size_t)spec->max + 1;
+    }
+}
+
+static void
+add_name(char *list, const char *name)
+{
+    size_t used = strlen(list);
+    snprintf(list + used, SET_NAMES_SIZE - used, "%s%s", used ? "," : "",
+             name);
+}
+
+void
+Set_TakeLive(struct settings *settings, const struct settings *fresh,
+             struct set_change *change)
+{
+    memset(change, 0, sizeof(*change));
+    for (size_t i = 0; i < SPEC_COUNT; i++) {
+        const struct spec *spec = &specs[i];
+        char *to = (char *)settings + spec->offset;
+        const char *from = (const char *)fresh + spec->offset;
+        size_t size = value_size(spec);
+        if (memcmp(to, from, size) == 0) {
+            continue;
+        }
+        add_name(is_live(spec) ? change->taken : change->waiting, spec->name);
+        if (is_live(spec)) {
+            memcpy(to, from, size);
+        }
+    }
+}
+
 void
 Set_Describe(FILE *out)
 {
     for (size_t i = 0; i < SPEC_COUNT; i++) {
         const struct spec *spec = &specs[i];
+        const char *effect = is_live(spec) ? "at once" : "next start";
         if (spec->kind == KIND_INT) {
-            fprintf(out, "%s\t%lld to %lld\t%lld\t%s\n", spec->name,
+            fprintf(out, "%s\t%lld to %lld\t%lld\t%s\t%s\n", spec->name,
                     (long long)spec->min, (long long)spec->max,
-                    (long long)spec->fallback, spec->help);
+                    (long long)spec->fallback, spec->help, effect);
             continue;
         }
-        fprintf(out, "%s\t%s\t%s\t%s\n", spec->name,
+        fprintf(out, "%s\t%s\t%s\t%s\t%s\n", spec->name,
                 spec->kind == KIND_ADDR ? "ip:port"
                 : spec->choices         ? spec->choices
                                         : "text",
                 spec->text_fallback ? spec->text_fallback : "required",
-                spec->help);
+                spec->help, effect);
     }
 }
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,67 @@
+/* Settings that change while a process runs. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "shell/settings.h"
+
+static void
+parse(struct settings *settings, const char *more)
+{
+    char text[1024];
+    struct err err = {0};
+    snprintf(text, sizeof(text),
+             "{\"role\":\"entry\",\"node\":\"e-1\",\"region\":\"r\","
+             "\"data_centre\":\"d\",\"listen_internal\":\"127.0.0.1:2\","
+             "\"table_service\":\"127.0.0.1:3\","
+             "\"cluster_key\":\"a passphrase for tests\",%s}",
+             more);
+    assert_int_equal(Set_Parse(settings, text, strlen(text), &err), 0);
+}
+
+static void
+only_live_settings_are_taken(void **state)
+{
+    struct settings settings;
+    struct settings fresh;
+    struct set_change change;
+    (void)state;
+    parse(&settings, "\"listen_http\":\"127.0.0.1:1\"");
+    parse(&fresh, "\"listen_http\":\"127.0.0.1:9\",\"log_level\":\"debug\","
+                  "\"stop_limit_s\":7,\"job_capacity\":32");
+    Set_TakeLive(&settings, &fresh, &change);
+    assert_string_equal(change.taken, "log_level,stop_limit_s");
+    assert_string_equal(change.waiting, "listen_http,job_capacity");
+    assert_string_equal(settings.log_level, "debug");
+    assert_int_equal(settings.stop_limit_s, 7);
+    assert_string_equal(settings.listen_http, "127.0.0.1:1");
+    assert_int_equal(settings.job_capacity, 100000);
+}
+
+static void
+the_same_settings_change_nothing(void **state)
+{
+    struct settings settings;
+    struct settings fresh;
+    struct set_change change;
+    (void)state;
+    parse(&settings, "\"listen_http\":\"127.0.0.1:1\"");
+    parse(&fresh, "\"listen_http\":\"127.0.0.1:1\",\"log_level\":\"info\"");
+    Set_TakeLive(&settings, &fresh, &change);
+    assert_string_equal(change.taken, "");
+    assert_string_equal(change.waiting, "");
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(only_live_settings_are_taken),
+        cmocka_unit_test(the_same_settings_change_nothing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
