Leave the receiving socket to the end of the process

The process had logged 'Stopped.' and hung in Link_Finish, its HTTP port still open, so callers waited there for 30 s.

--- a/shell/include/shell/link.h
+++ b/shell/include/shell/link.h
@@ -56,7 +56,8 @@
               link_visit *visit, void *context, struct counters *counters,
               struct err *err);
 
-/** Close all links. */
+/** Close all links, at the end of the process: the receiving socket goes with
+ * it. */
 void Link_Finish(struct links *links);
 
 /** Open the link to a process, or replace it by a new connection. */
--- a/shell/src/link.c
+++ b/shell/src/link.c
@@ -278,6 +278,7 @@
     while ((peer = Tab_Next(&links->peers, &slot))) {
         drop_peer(links, peer);
     }
-    nng_close(links->socket);
+    /* The receiving socket is left to the end of the process: nng 1.5.2 waits
+     * for ever when one is closed while frames come in. */
     Tab_Finish(&links->peers);
 }
