One reader of text fields and one search for the own row

copy_text and copy_name were the same function in two modules, the clean-up of JSON values stood three times, and three call-backs of the registry looked for the own row each by itself. No change of behaviour; tests as before.

--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "control.h"
 #include "shell/api.h"
 
@@ -20,14 +21,6 @@
 
 #define AUTO_TEXT __attribute__((cleanup(free_text))) char *
 
-static void
-free_json(json_t **root)
-{
-    json_decref(*root);
-}
-
-#define AUTO_JSON __attribute__((cleanup(free_json))) json_t *
-
 void
 Admin_Reply(struct control *control, conn_id conn, enum code code,
             json_t *root)
--- a/daemon/routes.c
+++ b/daemon/routes.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "control.h"
 
 static uint32_t
@@ -11,24 +12,13 @@
     return number > 0 && number <= UINT32_MAX ? (uint32_t)number : 0;
 }
 
-static int
-copy_text(char *out, size_t size, const json_t *root, const char *field)
-{
-    const json_t *text = json_object_get(root, field);
-    if (!json_is_string(text) || json_string_length(text) >= size) {
-        return -1;
-    }
-    memcpy(out, json_string_value(text), json_string_length(text) + 1);
-    return 0;
-}
-
 static int
 read_route(struct route *route, const json_t *root)
 {
-    if (copy_text(route->name, sizeof(route->name), root, "name") ||
-        copy_text(route->host, sizeof(route->host), root, "host") ||
-        copy_text(route->prefix, sizeof(route->prefix), root, "prefix") ||
-        copy_text(route->service, sizeof(route->service), root, "service")) {
+    if (Js_CopyText(route->name, sizeof(route->name), root, "name") ||
+        Js_CopyText(route->host, sizeof(route->host), root, "host") ||
+        Js_CopyText(route->prefix, sizeof(route->prefix), root, "prefix") ||
+        Js_CopyText(route->service, sizeof(route->service), root, "service")) {
         return -1;
     }
     route->timeout_ms = number_of(root, "timeout_ms");
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "base/log.h"
 
 void
@@ -19,17 +20,6 @@
     registry->context = context;
 }
 
-static int
-copy_name(char *out, size_t size, const json_t *value, const char *field)
-{
-    const json_t *item = json_object_get(value, field);
-    if (!json_is_string(item) || json_string_length(item) >= size) {
-        return -1;
-    }
-    memcpy(out, json_string_value(item), json_string_length(item) + 1);
-    return 0;
-}
-
 int
 Reg_ReadMember(struct ent_member *member, const char *key, const json_t *value,
                uint64_t version)
@@ -38,15 +28,15 @@
     char incarnation[24];
     memset(member, 0, sizeof(*member));
     if (strncmp(key, REG_PREFIX, strlen(REG_PREFIX)) != 0 ||
-        copy_name(member->node, sizeof(member->node), value, "node") ||
-        copy_name(member->addr, sizeof(member->addr), value, "address") ||
-        copy_name(member->dc, sizeof(member->dc), value, "data_centre") ||
-        copy_name(role, sizeof(role), value, "role") ||
-        copy_name(incarnation, sizeof(incarnation), value, "incarnation")) {
+        Js_CopyText(member->node, sizeof(member->node), value, "node") ||
+        Js_CopyText(member->addr, sizeof(member->addr), value, "address") ||
+        Js_CopyText(member->dc, sizeof(member->dc), value, "data_centre") ||
+        Js_CopyText(role, sizeof(role), value, "role") ||
+        Js_CopyText(incarnation, sizeof(incarnation), value, "incarnation")) {
         return -1;
     }
-    copy_name(member->region, sizeof(member->region), value, "region");
-    copy_name(member->rack, sizeof(member->rack), value, "rack");
+    Js_CopyText(member->region, sizeof(member->region), value, "region");
+    Js_CopyText(member->rack, sizeof(member->rack), value, "rack");
     member->role = strcmp(role, "entry") == 0 ? ROLE_ENTRY : ROLE_AGENT;
     member->incarnation = strtoull(incarnation, NULL, 16);
     member->registered = version;
@@ -60,6 +50,34 @@
     snprintf(key, size, REG_PREFIX "%s", registry->settings->node);
 }
 
+/* NULL when the row is not among `rows`. */
+static const json_t *
+find_own_row(const struct registry *registry, const json_t *rows)
+{
+    char own[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    size_t i;
+    const json_t *row;
+    own_key(registry, own, sizeof(own));
+    json_array_foreach(rows, i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+        if (key && strcmp(key, own) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/* 0 when the row names no process. */
+static uint64_t
+read_incarnation(const json_t *row)
+{
+    struct ent_member member;
+    const char *key = json_string_value(json_object_get(row, "key"));
+    const json_t *value = json_object_get(row, "value");
+    return Reg_ReadMember(&member, key, value, 1) ? 0 : member.incarnation;
+}
+
 static void
 found_registered(struct registry *registry, uint64_t version)
 {
@@ -79,42 +97,40 @@
 
 static void commit_row(struct registry *registry);
 
+/* The row there is written over by the next commit. */
+static void
+take_found(struct registry *registry, const json_t *row)
+{
+    const json_t *value = json_object_get(row, "value");
+    const json_t *note = json_object_get(value, "note");
+    registry->row_version =
+        (uint64_t)json_integer_value(json_object_get(row, "version"));
+    registry->row_replaced = is_loss(registry, value);
+    if (note && registry->found &&
+        read_incarnation(row) != registry->incarnation) {
+        registry->found(registry->context, note);
+    }
+}
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
     struct registry *registry = context;
-    char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
-    size_t i;
-    json_t *row;
     registry->busy = 0;
     if (result->code != CODE_OK) {
         return;
     }
-    own_key(registry, key, sizeof(key));
+    const json_t *row =
+        find_own_row(registry, json_object_get(result->body, "rows"));
     registry->row_version = 0;
     registry->row_replaced = 0;
-    json_array_foreach(json_object_get(result->body, "rows"), i, row)
-    {
-        struct ent_member member;
-        const char *name = json_string_value(json_object_get(row, "key"));
-        const json_t *value = json_object_get(row, "value");
-        uint64_t version =
-            (uint64_t)json_integer_value(json_object_get(row, "version"));
-        if (!name || strcmp(name, key) != 0) {
-            continue;
-        }
-        registry->row_version = version;
-        registry->row_replaced = is_loss(registry, value);
-        int is_own = Reg_ReadMember(&member, name, value, version) == 0 &&
-                     member.incarnation == registry->incarnation;
-        if (is_own && !registry->is_stale) {
-            found_registered(registry, version);
+    if (row) {
+        take_found(registry, row);
+        if (!registry->is_stale &&
+            read_incarnation(row) == registry->incarnation) {
+            found_registered(registry, registry->row_version);
             return;
         }
-        const json_t *note = json_object_get(value, "note");
-        if (!is_own && note && registry->found) {
-            registry->found(registry->context, note);
-        }
     }
     registry->busy = 2;
     if (registry->keep) {
@@ -203,22 +219,10 @@
 /* The row is gone, as after an outage that took it away, or it is that of an
  * earlier process. A later one of this node's name keeps its own. */
 static void
-check_kept(struct registry *registry, const json_t *rows)
+check_kept(struct registry *registry, const json_t *row)
 {
-    size_t i;
-    const json_t *row;
-    char own[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
-    own_key(registry, own, sizeof(own));
-    json_array_foreach(rows, i, row)
-    {
-        struct ent_member member;
-        const char *key = json_string_value(json_object_get(row, "key"));
-        if (key && strcmp(key, own) == 0 &&
-            Reg_ReadMember(&member, key, json_object_get(row, "value"), 1) ==
-                0 &&
-            member.incarnation >= registry->incarnation) {
-            return;
-        }
+    if (row && read_incarnation(row) >= registry->incarnation) {
+        return;
     }
     LOG_WARN("registry", "Own row is gone: writing it again. node=%s",
              registry->settings->node);
@@ -230,24 +234,18 @@
 on_verify(void *context, const struct store_result *result)
 {
     struct registry *registry = context;
-    char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
-    size_t i;
-    json_t *row;
     registry->verifying = 0;
     if (result->code != CODE_OK) {
         return;
     }
+    const json_t *row =
+        find_own_row(registry, json_object_get(result->body, "rows"));
     if (registry->keep) {
-        check_kept(registry, json_object_get(result->body, "rows"));
-        return;
+        check_kept(registry, row);
     }
-    own_key(registry, key, sizeof(key));
-    json_array_foreach(json_object_get(result->body, "rows"), i, row)
-    {
-        const char *name = json_string_value(json_object_get(row, "key"));
-        if (name && strcmp(name, key) == 0) {
-            registry->lost = 1;
-        }
+    else if (row) {
+        /* What is read is newer than the registration. */
+        registry->lost = 1;
     }
 }
 
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -1,9 +1,9 @@
 #include "shell/settings.h"
 
-#include <jansson.h>
 #include <stddef.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "base/log.h"
 #include "shell/httpd.h"
 
@@ -216,19 +216,12 @@
     return 0;
 }
 
-static void
-free_json(json_t **json)
-{
-    json_decref(*json);
-}
-
 int
 Set_Parse(struct settings *settings, const char *text, size_t size,
           struct err *err)
 {
     json_error_t fault;
-    __attribute__((cleanup(free_json))) json_t *root =
-        json_loadb(text, size, JSON_REJECT_DUPLICATES, &fault);
+    AUTO_JSON root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &fault);
     memset(settings, 0, sizeof(*settings));
     if (!root) {
         return Err_Set(err, CODE_BAD_SETTING, "line %d, column %d: %s",
