Refuse a share of new jobs while the processor is behind

Ruled out: links (0.1 GB in all), workers (first start within 5 ms for half), the table service (three entries cut off from it are not the worst ones). A share of the new jobs, the same for each class, is refused at once with a time to come back, by how late the ticks of the loop come; two late ticks in a row are needed, so a pause of the machine refuses nobody.

--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -42,6 +42,7 @@
     X(NOT_FRESH, 1107, 503, CODE_NOT_RUN, "configuration not known fresh")    \
     X(NO_MEMORY, 1108, 503, CODE_NOT_RUN, "table full")                       \
     X(NOT_SERVED, 1109, 503, CODE_NOT_RUN, "kind of job not served here")     \
+    X(OVERLOADED, 1110, 503, CODE_NOT_RUN, "entry short of processor time")   \
     X(OLD_EPOCH, 1201, 503, CODE_NOT_RUN, "epoch superseded")                 \
     X(OLD_ATTEMPT, 1202, 503, CODE_NOT_RUN, "attempt superseded")             \
     X(WRONG_INCARNATION, 1203, 503, CODE_NOT_RUN,                             \
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -43,6 +43,15 @@
     uint8_t by_contact;      /**< A member that is heard stays one, whatever
                                   becomes of its row. */
     struct timing timing;    /**< All 0 for Timing_Init(). */
+    uint64_t tick_us; /**< Between calls of Ent_OnTick() while the processor
+                           keeps up; 0: do not watch it. */
+};
+
+/** Whether the processor keeps up with the work. */
+struct ent_pressure {
+    uint64_t tick_us;        /**< When the latest tick came, 0 for none. */
+    uint64_t late_us;        /**< How late it was. */
+    uint32_t refuse_percent; /**< Share of the new jobs that is refused. */
 };
 
 /** A row of the registry. */
@@ -349,6 +358,7 @@
     struct policy policy;  /**< Fleet-wide values in force. */
     struct policy scratch; /**< Values for a service and a team. */
     struct ent_conf conf;
+    struct ent_pressure pressure;
 };
 
 /** Make an entry on the caller's memory. Returns -1 for lack of memory. */
@@ -401,6 +411,12 @@
 enum code Ent_IssueKeys(struct entry *entry, struct now now, uint32_t count,
                         struct key *keys);
 
+/** Decide on a job that its caller names `name` before the work of taking it
+ * in. CODE_OVERLOADED, with a time after which a retry may help, when this
+ * entry cannot keep up; a job that is known here is always let in. */
+enum code Ent_Screen(struct entry *entry, uint64_t name,
+                     uint32_t *retry_after_ms);
+
 /** A caller submitted a job and waits for its answer on `conn`; 0 when it
  * does not wait. The answer comes as ACT_REPLY. */
 void Ent_OnSubmit(struct entry *entry, struct now now, conn_id conn,
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -294,6 +294,7 @@
 void
 Ent_OnTick(struct entry *entry, struct now now)
 {
+    Enti_NoteTick(entry, now);
     if (now.us >= entry->next_beat_us) {
         entry->next_beat_us = now.us + entry->settings.timing.beat_us;
         Enti_BeatPeers(entry, now);
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -312,6 +312,11 @@
 /** Time to tell a refused caller, from what was missing; with jitter. */
 uint32_t Enti_RetryAfterMs(struct entry *entry, uint64_t excess_us);
 
+/* pressure.c */
+
+/** Note that a tick came: late ones tell that the processor is behind. */
+void Enti_NoteTick(struct entry *entry, struct now now);
+
 /* submit.c */
 
 /** Take in a submission from a caller (`from` 0) or an entry. */
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -173,12 +173,30 @@
     }
 }
 
+/* One line when the processor falls behind, one when it has caught up. */
+static void
+note_pressure(const struct entry_daemon *daemon, uint32_t before_percent)
+{
+    const struct ent_pressure *pressure = &daemon->core.pressure;
+    if ((before_percent == 0) == (pressure->refuse_percent == 0)) {
+        return;
+    }
+    LOG_WARN("entry", "%s late_ms=%u open_jobs=%u",
+             pressure->refuse_percent
+                 ? "Short of processor time: some new jobs are refused."
+                 : "Processor has caught up: all jobs are taken in.",
+             (unsigned)(pressure->late_us / US_PER_MS),
+             daemon->core.open_jobs);
+}
+
 static void
 on_tick(void *context)
 {
     struct entry_daemon *daemon = context;
     struct now now = Loop_Now();
+    uint32_t refused_percent = daemon->core.pressure.refuse_percent;
     Ent_OnTick(&daemon->core, now);
+    note_pressure(daemon, refused_percent);
     if (Adapter_IsOn(daemon->settings)) {
         Ingress_OnTick(&daemon->ingress);
     }
@@ -212,6 +230,7 @@
         .key_lifetime_s = (uint32_t)daemon->settings->key_lifetime_s,
         .check_fresh = !Adapter_IsOn(daemon->settings),
         .by_contact = (uint8_t)Adapter_IsOn(daemon->settings),
+        .tick_us = TICK_US,
     };
     Adapter_Timing(daemon->settings, &core.timing);
     memcpy(core.dc, daemon->settings->data_centre, sizeof(core.dc));
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -1,6 +1,7 @@
 #include "ingress.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "adapter.h"
@@ -63,11 +64,10 @@
 }
 
 static void
-refuse(struct ingress *ingress, const struct hs_request *request,
-       enum code code, const char *detail)
+refuse_for(struct ingress *ingress, const struct hs_request *request,
+           enum code code, uint32_t retry_ms, const char *detail)
 {
     struct pf_answer answer;
-    uint32_t retry_ms = Code_HttpStatus(code) == 503 ? RETRY_MS : 0;
     Ctr_Code(ingress->counters, code);
     Pf_WriteRefusal(&answer, code, retry_ms);
     LOG_INFO("callers",
@@ -78,6 +78,34 @@
     reply(ingress, request->conn, &answer);
 }
 
+static void
+refuse(struct ingress *ingress, const struct hs_request *request,
+       enum code code, const char *detail)
+{
+    refuse_for(ingress, request, code,
+               Code_HttpStatus(code) == 503 ? RETRY_MS : 0, detail);
+}
+
+/* Returns 1 when the request has been answered: this entry is short of
+ * processor time, and says so before it spends more on the job. */
+static int
+screen(struct ingress *ingress, const struct hs_request *request,
+       uint64_t name)
+{
+    uint32_t retry_ms = 0;
+    enum code code = Ent_Screen(ingress->core, name, &retry_ms);
+    if (code == CODE_OK) {
+        return 0;
+    }
+    char detail[64];
+    const struct ent_pressure *pressure = &ingress->core->pressure;
+    snprintf(detail, sizeof(detail), "round_late_ms=%u refuse_percent=%u",
+             (unsigned)(pressure->late_us / US_PER_MS),
+             pressure->refuse_percent);
+    refuse_for(ingress, request, code, retry_ms, detail);
+    return 1;
+}
+
 static void
 fill(struct submission *sub, const struct route *route, uint64_t name,
      uint32_t deadline_ms)
@@ -103,6 +131,9 @@
     struct err err = {0};
     struct pf_job job;
     struct waiting waiting = {.name = name};
+    if (screen(ingress, request, name)) {
+        return;
+    }
     if (Pf_ReadJob(&job, request->body, &err)) {
         refuse(ingress, request, err.code, err.text);
         return;
--- /dev/null
+++ b/tests/test_pressure.c
@@ -0,0 +1,153 @@
+/* An entry whose processor cannot keep up with what comes in. Each round of
+ * its loop takes as long as the work that came in during the round before. */
+#include "caller.h"
+
+/* Processor time of the simulated machine, for a core of a tenth. */
+#define SERVE_US 5000u
+#define REFUSE_US 1000u
+#define TICK_US 20000u
+
+static struct net net;
+static struct net_node *node;
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    Net_Init(&net);
+    node = Net_AddEntry(&net, "entry-1");
+    node->entry.settings.tick_us = TICK_US;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    Net_Finish(&net);
+    return 0;
+}
+
+struct played {
+    uint32_t came;
+    uint32_t served;
+    uint32_t in_time;    /**< Served in a round that took at most 100 ms. */
+    uint64_t worst_us;   /**< Longest round of the second half. */
+    uint32_t told_least; /**< Least time that a refused caller was told. */
+};
+
+/* `per_s` jobs a second for `span_us`; rounds do not wait for ticks. */
+static struct played
+play(uint32_t per_s, uint64_t span_us)
+{
+    struct played played = {.told_least = UINT32_MAX};
+    uint64_t end_us = net.now.us + span_us;
+    uint64_t round_us = TICK_US;
+    double due = 0;
+    while (net.now.us < end_us) {
+        uint64_t work_us = 0;
+        uint32_t served = 0;
+        due += (double)per_s * (double)round_us / 1e6;
+        for (; due >= 1; due--) {
+            uint32_t retry_ms = 0;
+            played.came++;
+            if (Ent_Screen(&node->entry, 0, &retry_ms) == CODE_OK) {
+                work_us += SERVE_US;
+                served++;
+                continue;
+            }
+            work_us += REFUSE_US;
+            if (retry_ms < played.told_least) {
+                played.told_least = retry_ms;
+            }
+        }
+        round_us = work_us > TICK_US ? work_us : TICK_US;
+        played.served += served;
+        played.in_time += round_us <= 100000 ? served : 0;
+        if (end_us - net.now.us < span_us / 2 && round_us > played.worst_us) {
+            played.worst_us = round_us;
+        }
+        net.now.us += round_us;
+        Ent_OnTick(&node->entry, net.now);
+    }
+    return played;
+}
+
+static void
+all_is_taken_in_while_the_processor_keeps_up(void **state)
+{
+    (void)state;
+    struct played played = play(150, 5 * US_PER_S);
+    assert_int_equal(played.served, played.came);
+}
+
+static void
+twice_the_load_is_served_in_part_and_in_time(void **state)
+{
+    (void)state;
+    /* Of 400 a second the processor can serve 150 and refuse 250. */
+    struct played played = play(400, 10 * US_PER_S);
+    assert_true(played.worst_us <= 250000);
+    assert_true(played.in_time >= 10 * 150 / 2);
+    assert_true(played.told_least >= 200);
+}
+
+static void
+the_end_of_a_burst_lets_all_in_again(void **state)
+{
+    (void)state;
+    play(800, 3 * US_PER_S);
+    play(50, 2 * US_PER_S);
+    struct played played = play(150, 3 * US_PER_S);
+    assert_int_equal(played.served, played.came);
+}
+
+static void
+a_pause_of_the_machine_refuses_nobody(void **state)
+{
+    (void)state;
+    play(100, US_PER_S);
+    net.now.us += 3 * US_PER_S;
+    Ent_OnTick(&node->entry, net.now);
+    struct played played = play(100, US_PER_S);
+    assert_int_equal(played.served, played.came);
+}
+
+static void
+a_job_that_is_known_is_let_in(void **state)
+{
+    uint32_t retry_ms;
+    struct sub_task task = {.no = 0, .run_ms = 60};
+    struct submission sub = {
+        .key = Net_Key(node),
+        .service = "finishing",
+        .kind = "edge-check",
+        .deadline_ms = 5000,
+        .flags = SUB_RESTART,
+        .task_count = 1,
+        .tasks = &task,
+        .name = 77,
+    };
+    (void)state;
+    Net_AddAgent(&net, "worker-1");
+    Net_Run(&net, 3000);
+    Ent_OnSubmit(&node->entry, net.now, 1, &sub);
+    node->entry.pressure.refuse_percent = 95;
+    for (int i = 0; i < 100; i++) {
+        assert_int_equal(Ent_Screen(&node->entry, 77, &retry_ms), CODE_OK);
+    }
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        TEST(all_is_taken_in_while_the_processor_keeps_up),
+        TEST(twice_the_load_is_served_in_part_and_in_time),
+        TEST(the_end_of_a_burst_lets_all_in_again),
+        TEST(a_pause_of_the_machine_refuses_nobody),
+        TEST(a_job_that_is_known_is_let_in),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
