--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -431,7 +431,7 @@
                       const struct key *key);
 
 /** Cancel an open job by its caller's name. Returns 0 when there is none. */
-int Ent_CancelNamed(struct entry *entry, struct now now, uint64_t name);
+int Ent_CancelNamed(struct entry *entry, uint64_t name);
 
 /** Look for an open job by its caller's name, and whether a task of it has
  * been sent. Returns 0 when there is none. */
@@ -442,7 +442,7 @@
 
 /** The connection on which a caller waited for the answer is closed. A job
  * that nobody waits for and nobody can ask for is ended. */
-void Ent_OnCallerGone(struct entry *entry, struct now now, conn_id conn,
+void Ent_OnCallerGone(struct entry *entry, conn_id conn,
                       const struct key *key);
 
 /** A frame for an earlier process at this address came from a process that
--- a/core/src/entry/restart.c
+++ b/core/src/entry/restart.c
@@ -42,6 +42,15 @@
     return 1;
 }
 
+/* Stop what runs of a job, and answer it. */
+static void
+end_job(struct entry *entry, struct ent_job *job, enum code code,
+        const char *detail)
+{
+    Enti_SendCancel(entry, job);
+    Enti_Answer(entry, job, code, detail);
+}
+
 void
 Enti_LoseRun(struct entry *entry, struct now now, struct ent_job *job,
              struct ent_task *task, const struct ent_peer *agent)
@@ -53,8 +62,7 @@
         end_us = now.us;
     }
     if (end_us + job->longest_us > job->deadline_us) {
-        Enti_SendCancel(entry, job);
-        Enti_Answer(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
+        end_job(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
         return;
     }
     task->state = ENT_LOST;
@@ -89,22 +97,19 @@
         if (clear_us + job->longest_us > job->deadline_us) {
             Enti_Note(entry, now, NOTE_LOST, job, NULL, agent,
                       CODE_OUTCOME_UNKNOWN);
-            Enti_SendCancel(entry, job);
-            Enti_Answer(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
+            end_job(entry, job, CODE_OUTCOME_UNKNOWN, agent->member.node);
         }
     }
 }
 
 int
-Ent_CancelNamed(struct entry *entry, struct now now, uint64_t name)
+Ent_CancelNamed(struct entry *entry, uint64_t name)
 {
     struct ent_job *job = Enti_FindNamed(entry, name);
-    (void)now;
     if (!job) {
         return 0;
     }
-    Enti_SendCancel(entry, job);
-    Enti_Answer(entry, job, CODE_JOB_CANCELLED, NULL);
+    end_job(entry, job, CODE_JOB_CANCELLED, NULL);
     return 1;
 }
 
@@ -143,11 +148,9 @@
 }
 
 void
-Ent_OnCallerGone(struct entry *entry, struct now now, conn_id conn,
-                 const struct key *key)
+Ent_OnCallerGone(struct entry *entry, conn_id conn, const struct key *key)
 {
     struct ent_job *job = Enti_FindJob(entry, key);
-    (void)now;
     if (!job || job->state == ENT_JOB_ANSWERED) {
         return;
     }
@@ -156,6 +159,5 @@
         return;
     }
     CTR_INC(entry->counters, jobs_abandoned);
-    Enti_SendCancel(entry, job);
-    Enti_Answer(entry, job, CODE_JOB_CANCELLED, NULL);
+    end_job(entry, job, CODE_JOB_CANCELLED, NULL);
 }
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -172,7 +172,7 @@
        uint64_t name)
 {
     struct pf_answer answer;
-    int is_open = Ent_CancelNamed(ingress->core, Loop_Now(), name);
+    int is_open = Ent_CancelNamed(ingress->core, name);
     Pf_WriteState(&answer, is_open, 1);
     reply(ingress, request->conn, &answer);
 }
@@ -239,7 +239,7 @@
     memcpy(&waiting, user, sizeof(waiting));
     if (waiting.name) {
         LOG_INFO("callers", "Caller left. job=%016" PRIx64, waiting.name);
-        Ent_OnCallerGone(ingress->core, Loop_Now(), conn, &waiting.key);
+        Ent_OnCallerGone(ingress->core, conn, &waiting.key);
     }
 }
 
