Keep the tasks of a job on few agents

Reason: a job of 4 or 8 tasks was spread over as many agents; the loss of one agent, or one that turns slow, hit every job with a task there, and each agent costs a message there and back. The agent that has tasks of the job is used again while it has more than its last place, is not slow, and nothing of the job was refused or lost there.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -229,7 +229,9 @@
     struct ent_kind *kind_row; /**< What is known of its kind, the same. */
     uint64_t task_us;          /**< Expected run time of one task. */
     uint64_t longest_us;       /**< The same of the longest task. */
-    uint64_t tag;              /**< Place in the fair order of its queue. */
+    uint64_t home;       /**< Agent that its tasks go to while it has room, by
+                              incarnation; 0 for none. */
+    uint64_t tag;        /**< Place in the fair order of its queue. */
     uint64_t due_us;     /**< No start has to be sent again before this. */
     uint32_t open_index; /**< Place in the entry's list of open jobs. */
     struct ent_service *service;
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -10,6 +10,8 @@
 #define PACE_TASKS 4
 /* Waiting tasks for each start beyond the slots of an agent. */
 #define DEEP_QUEUE 16
+/* An agent with this much room or less may be full by now: news are old. */
+#define LAST_PLACE 1
 /* Jobs of a queue looked at for one that can be placed. */
 #define LOOK_AHEAD 16
 
@@ -125,6 +127,22 @@
     return (double)wait_us > extra_us;
 }
 
+/* The agent that has tasks of the job already: the fewer agents a job is
+ * spread over, the fewer jobs are lost with one, and the fewer messages it
+ * takes. NULL when it has no room left. */
+static struct ent_peer *
+find_home(const struct entry *entry, struct now now, const struct ent_job *job)
+{
+    struct ent_peer *home = job->home ? Enti_FindPeer(entry, job->home) : NULL;
+    if (!home || home->service != job->service ||
+        room_for(now, home, job) <= LAST_PLACE ||
+        !Enti_IsUsable(entry, now, home) || !may_run(home, job) ||
+        is_slow(entry, now, home)) {
+        return NULL;
+    }
+    return home;
+}
+
 enum { NEAR, FAR, TIGHT, SLOW, SPARE, CHOICES };
 
 /* In this data centre before others, slow agents last. */
@@ -132,7 +150,10 @@
 pick_agent(struct entry *entry, struct now now, const struct ent_job *job)
 {
     struct choice choices[CHOICES] = {{NULL, 0}};
-    struct ent_peer *agent;
+    struct ent_peer *agent = find_home(entry, now, job);
+    if (agent) {
+        return agent;
+    }
     DL_FOREACH(job->service->agents, agent)
     {
         uint32_t room = room_for(now, agent, job);
@@ -149,7 +170,7 @@
             continue;
         }
         int near = strcmp(agent->member.dc, entry->settings.dc) == 0;
-        int index = near ? NEAR : room > 1 ? FAR : TIGHT;
+        int index = near ? NEAR : room > LAST_PLACE ? FAR : TIGHT;
         if (is_slow(entry, now, agent)) {
             index = SLOW;
         }
@@ -289,6 +310,7 @@
     task->state = ENT_SENT;
     task->attempt++;
     task->agent = agent->member.incarnation;
+    job->home = job->flags & SUB_REQUEST ? 0 : task->agent;
     job->waiting--;
     Enti_CountWaiting(job, -1);
     Enti_Served(entry, job);
@@ -478,6 +500,8 @@
         job->not_before_us = now.us + BASELINE_RETRY_US;
     }
     CTR_INC(entry->counters, start_retried);
+    /* What went wrong there may go wrong again. */
+    job->home = 0;
     task->state = ENT_WAITING;
     job->waiting++;
     if (job->queued) {
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -93,6 +93,30 @@
     }
 }
 
+static void
+a_job_is_spread_over_few_agents(void **state)
+{
+    (void)state;
+    agent->run_ms = spare->run_ms = -1;
+    submit_to(entry, 1, NAME, 4, 1000, 5000);
+    submit_to(entry, 2, NAME + 1, 4, 1000, 5000);
+    Net_Run(&net, 50);
+    /* Each job is at one agent: the loss of one leaves the other. */
+    assert_int_equal(running_at(agent), 4);
+    assert_int_equal(running_at(spare), 4);
+    Net_Kill(agent);
+    spare->run_ms = 10;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        if (net.runs[i].node) {
+            net.runs[i].end_us = net.now.us;
+        }
+    }
+    Net_Run(&net, 500);
+    assert_int_equal((Net_Answer(&net, 1) == CODE_OK) +
+                         (Net_Answer(&net, 2) == CODE_OK),
+                     1);
+}
+
 static void
 a_dead_entrys_tasks_end_before_its_callers_come_back(void **state)
 {
@@ -410,6 +434,7 @@
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
     const struct CMUnitTest tests[] = {
         TEST(capacity_is_never_exceeded),
+        TEST(a_job_is_spread_over_few_agents),
         TEST(a_dead_entrys_tasks_end_before_its_callers_come_back),
         TEST(a_job_cut_off_ends_before_its_caller_comes_back),
         TEST(a_job_cut_off_one_way_ends_before_its_caller_comes_back),
