Send the outcomes of a job's tasks together

An outcome of a job that is not kept waits while another task of the job runs at the same agent, and at most until the next tick. Tests: outcomes_of_a_job_go_out_with_the_last fails before (3 messages as they end).

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -18,6 +18,8 @@
 #define AG_MAX_ENTRIES 256
 /** Most starts that may wait for a slot. */
 #define AG_MAX_HOLDS 1024
+/** Outcomes that may wait for others of their job. */
+#define AG_MAX_WAITING 64
 /** An entry that sent a start of late is told when the slots taken differ
  * by this many from what it knows, or all are taken. */
 #define AG_NEWS_SLOTS 2
@@ -156,6 +158,12 @@
     UT_hash_handle hh;
 };
 
+/** Outcomes that wait to be sent together. */
+struct ag_outbox {
+    uint32_t count;
+    tab_handle tasks[AG_MAX_WAITING];
+};
+
 /** The agent. */
 struct agent {
     struct ag_settings settings;
@@ -164,6 +172,7 @@
     struct tab tasks;
     struct tab jobs;
     struct ag_job *job_index;
+    struct ag_outbox outbox;
     struct tab issuers;
     struct ag_issuer *issuer_index;
     struct tab entries;
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -286,7 +286,7 @@
         send_unkept(agent, owner, task, output);
     }
     else {
-        Agi_SendTask(agent, owner, MSG_RESULT, task);
+        Agi_Report(agent, task);
     }
     Agi_SendNews(agent, now);
 }
@@ -353,6 +353,7 @@
     Agi_EndOrphans(agent, now);
     Agi_CheckHealth(agent, now);
     Agi_CheckHeld(agent, now);
+    Agi_SendWaiting(agent);
     Agi_SendNews(agent, now);
     check_leases(agent, now);
     if (agent->draining) {
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -101,6 +101,15 @@
  * note that it has been told. */
 void Agi_NoteTold(struct agent *agent, uint64_t to, struct msg_result *result);
 
+/* outbox.c */
+
+/** Send a task's outcome to its owner, or let it wait for those of the job's
+ * other tasks here. */
+void Agi_Report(struct agent *agent, struct ag_task *task);
+
+/** Send all outcomes that wait. */
+void Agi_SendWaiting(struct agent *agent);
+
 /* health.c */
 
 /** True while the worker is out because it fails what it starts. */
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -7,6 +7,7 @@
 static struct net net;
 static struct net_node *node;
 static struct msg_result result;
+static uint32_t results;
 static uint32_t refusals;
 static uint32_t offers;
 static uint32_t helds;
@@ -22,6 +23,7 @@
     const struct msg *msg = act->u.send.msg;
     if (msg->type == MSG_RESULT) {
         result = msg->u.result;
+        results++;
         refusals += result.state == TASK_REFUSED;
     }
     if (msg->type == MSG_AGENT) {
@@ -255,6 +257,49 @@
     assert_true(offers < told + 3);
 }
 
+static void
+start_restartable(uint32_t task)
+{
+    struct msg msg = make_start(30, task, 0);
+    msg.u.start.flags = SUB_RESTART;
+    deliver(OWNER, &msg);
+}
+
+static void
+outcomes_of_a_job_go_out_with_the_last(void **state)
+{
+    (void)state;
+    /* Ticks come each 10 ms; the tasks end between two. */
+    while (net.now.us / 1000 % 10 != 1) {
+        Net_Run(&net, 1);
+    }
+    for (uint32_t i = 0; i < 3; i++) {
+        start_restartable(i);
+        Net_Run(&net, 2);
+    }
+    results = 0;
+    while (node->agent.busy == 3) {
+        Net_Run(&net, 1);
+    }
+    assert_int_equal(results, 0);
+    Net_Run(&net, 4);
+    assert_int_equal(node->agent.busy, 0);
+    assert_int_equal(results, 3);
+}
+
+static void
+an_outcome_waits_no_longer_than_a_tick(void **state)
+{
+    (void)state;
+    start_restartable(0);
+    Net_Run(&net, 60);
+    start_restartable(1);
+    results = 0;
+    Net_Run(&net, 41 + 20);
+    assert_int_equal(node->agent.busy, 1);
+    assert_int_equal(results, 1);
+}
+
 /* Messages with news in a second of ten starts each 25 ms, which end 10 ms
  * later, from `entries` entries in turn. */
 static uint32_t
@@ -376,6 +421,8 @@
         T(a_result_tells_whose_the_load_is),
         T(news_goes_to_entries_that_send_starts),
         T(news_costs_no_more_with_more_entries),
+        T(outcomes_of_a_job_go_out_with_the_last),
+        T(an_outcome_waits_no_longer_than_a_tick),
         T(three_failed_jobs_put_a_worker_out),
         T(failures_of_one_job_are_its_own),
         T(a_worker_is_probed_and_comes_back),
