--- a/tests/test_pressure.c
+++ b/tests/test_pressure.c
@@ -6,6 +6,7 @@
 #define SERVE_US 5000u
 #define REFUSE_US 1000u
 #define TICK_US 20000u
+#define ONE_JOB 1000000u
 
 static struct net net;
 static struct net_node *node;
@@ -43,12 +44,12 @@
     struct played played = {.told_least = UINT32_MAX};
     uint64_t end_us = net.now.us + span_us;
     uint64_t round_us = TICK_US;
-    double due = 0;
+    uint64_t due = 0; /* Jobs that are due, in millionths. */
     while (net.now.us < end_us) {
         uint64_t work_us = 0;
         uint32_t served = 0;
-        due += (double)per_s * (double)round_us / 1e6;
-        for (; due >= 1; due--) {
+        due += per_s * round_us;
+        for (; due >= ONE_JOB; due -= ONE_JOB) {
             uint32_t retry_ms = 0;
             played.came++;
             if (Ent_Screen(&node->entry, 0, &retry_ms) == CODE_OK) {
--- a/tests/test_settings_doc.c
+++ b/tests/test_settings_doc.c
@@ -69,8 +69,8 @@
         const char *allowed = strsep(&row, "\t");
         const char *fallback = strsep(&row, "\t");
         const char *help = strsep(&row, "\t");
-        snprintf(line, sizeof(line), "| `%s` | `%s` | %s | %s | %s |",
-                 name, allowed, fallback, help, row);
+        snprintf(line, sizeof(line), "| `%s` | `%s` | %s | %s | %s |", name,
+                 allowed, fallback, help, row);
         check_line(page, line);
     }
     free(text);
