--- a/tests/net.h
+++ b/tests/net.h
@@ -499,4 +499,12 @@
     }
 }
 
+/** Tear-down of a test whose set-up put its net into `*state`. */
+NET_UNUSED static int
+Net_TearDown(void **state)
+{
+    Net_Finish(*state);
+    return 0;
+}
+
 #endif
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -46,20 +46,12 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     set_up_with(256);
     Ag_OnRegistered(&node->agent, 5);
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 static struct msg
 make_start(uint32_t seq, uint32_t task, uint32_t attempt)
 {
@@ -388,7 +380,7 @@
     assert_int_equal(result.code, CODE_NO_SLOT);
 }
 
-#define AGENT_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+#define AGENT_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, Net_TearDown)
 
 int
 main(void)
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -36,7 +36,7 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     Net_Init(&net);
     node = Net_AddAgentUnregistered(&net, "x");
     node->agent.sink.emit = hear;
@@ -48,14 +48,6 @@
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 static void
 deliver(uint64_t from, const struct msg *msg)
 {
@@ -403,7 +395,7 @@
     assert_int_equal(net.start_count, 5);
 }
 
-#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
 
 int
 main(void)
--- a/tests/test_join.c
+++ b/tests/test_join.c
@@ -8,19 +8,11 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     Net_Init(&net);
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 static void
 a_job_waits_until_the_agents_are_heard(void **state)
 {
@@ -51,10 +43,10 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(a_job_waits_until_the_agents_are_heard,
-                                        set_up, tear_down),
+                                        set_up, Net_TearDown),
         cmocka_unit_test_setup_teardown(
             an_unknown_service_is_refused_once_the_agents_are_known, set_up,
-            tear_down),
+            Net_TearDown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -12,7 +12,7 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     Net_Init(&net);
     net.job_capacity = 4096;
     entry = Net_AddEntry(&net, "e");
@@ -22,14 +22,6 @@
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 static struct sub_task tasks[WIRE_MAX_TASKS];
 
 static struct submission
@@ -372,7 +364,7 @@
     assert_int_equal(agents[0]->agent.busy + agents[1]->agent.busy, 8);
 }
 
-#define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define T(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
 
 int
 main(void)
--- a/tests/test_pressure.c
+++ b/tests/test_pressure.c
@@ -14,21 +14,13 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     Net_Init(&net);
     node = Net_AddEntry(&net, "entry-1");
     node->entry.settings.tick_us = TICK_US;
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 struct played {
     uint32_t came;
     uint32_t served;
@@ -142,7 +134,7 @@
 int
 main(void)
 {
-#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
     const struct CMUnitTest tests[] = {
         TEST(all_is_taken_in_while_the_processor_keeps_up),
         TEST(twice_the_load_is_served_in_part_and_in_time),
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -15,7 +15,7 @@
 static int
 set_up(void **state)
 {
-    (void)state;
+    *state = &net;
     Net_Init(&net);
     Timing_Derive(&net.timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
     net.by_contact = 1;
@@ -29,14 +29,6 @@
     return 0;
 }
 
-static int
-tear_down(void **state)
-{
-    (void)state;
-    Net_Finish(&net);
-    return 0;
-}
-
 /* A job of `tasks` tasks of `cpu` each; returns its key. */
 static struct key
 submit_to(struct net_node *node, conn_id conn, uint64_t name, uint32_t tasks,
@@ -431,7 +423,7 @@
 int
 main(void)
 {
-#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
     const struct CMUnitTest tests[] = {
         TEST(capacity_is_never_exceeded),
         TEST(a_job_is_spread_over_few_agents),
