Send news of free slots only to entries whose tasks wait

An entry shows that it wants room by a start that may wait, or by one that is refused for want of room.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -20,8 +20,8 @@
 #define AG_MAX_HOLDS 1024
 /** Outcomes that may wait for others of their job. */
 #define AG_MAX_WAITING 64
-/** An entry that sent a start of late is told when the slots taken differ
- * by this many from what it knows, or all are taken. */
+/** An entry whose tasks wait for room is told when the slots taken differ by
+ * this many from what it knows, or all are taken. */
 #define AG_NEWS_SLOTS 2
 /** The same where resources count: a change by this part of the capacity. */
 #define AG_NEWS_PARTS 6
@@ -30,7 +30,8 @@
  * agents and 13 entries that is 850 a second for an entry, two hundredths of a
  * core. Each result tells the same, at no cost. */
 #define AG_NEWS_GAP_US (5 * US_PER_MS)
-/** Such an entry sent a start within this time. */
+/** Such an entry sent a start that may wait, or was refused for want of room,
+ * within this time. */
 #define AG_NEWS_US (1 * US_PER_S)
 /** Bytes of outputs kept for owners that may still ask. */
 #define AG_OUTPUT_BYTES (32u << 20)
@@ -144,15 +145,15 @@
     char addr[WIRE_ADDR_SIZE];
     uint64_t met_us; /**< When it was first heard. */
     uint64_t heard_us;
-    uint64_t link_us;  /**< When the connection was last made. */
-    uint64_t echo_us;  /**< Entry's `sent_us` to echo. */
-    uint64_t back_us;  /**< When the latest heartbeat that came back left. */
-    uint64_t version;  /**< Registry version that it has applied. */
-    uint64_t ask_us;   /**< Its latest question, to be echoed. */
-    uint64_t start_us; /**< When it last sent a start. */
-    uint32_t tasks;    /**< Slots taken by its tasks, held ones too. */
-    uint32_t told;     /**< Slots taken, as it was last told. */
-    uint64_t news_us;  /**< When it was last sent news. */
+    uint64_t link_us; /**< When the connection was last made. */
+    uint64_t echo_us; /**< Entry's `sent_us` to echo. */
+    uint64_t back_us; /**< When the latest heartbeat that came back left. */
+    uint64_t version; /**< Registry version that it has applied. */
+    uint64_t ask_us;  /**< Its latest question, to be echoed. */
+    uint64_t want_us; /**< When it last wanted more room than it knew of. */
+    uint32_t tasks;   /**< Slots taken by its tasks, held ones too. */
+    uint32_t told;    /**< Slots taken, as it was last told. */
+    uint64_t news_us; /**< When it was last sent news. */
     struct resources used; /**< Taken by its tasks. */
     uint32_t told_cpu;     /**< Of `used` of all, as it was last told. */
     UT_hash_handle hh;
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -194,7 +194,9 @@
         entry->version = msg->u.beat.version;
         break;
     case MSG_START:
-        entry->start_us = now.us;
+        if (msg->u.start.hold_ms) {
+            entry->want_us = now.us;
+        }
         note_echo(entry, now, msg->u.start.heard_us);
         Agi_OnStart(agent, now, head->from, &msg->u.start);
         Agi_SendNews(agent, now);
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -91,9 +91,12 @@
 
 /* news.c */
 
-/** Tell the entries that send starts when the free slots have changed. */
+/** Tell the entries whose tasks wait when the free slots have changed. */
 void Agi_SendNews(struct agent *agent, struct now now);
 
+/** Note that an entry wanted more room than there is. */
+void Agi_NoteWant(struct agent *agent, struct now now, uint64_t from);
+
 /** Note that tasks of an entry take more (or, below 0, fewer) slots. */
 void Agi_CountTask(struct agent *agent, uint64_t from, int tasks);
 
--- a/core/src/agent/news.c
+++ b/core/src/agent/news.c
@@ -1,6 +1,8 @@
-/* News of free slots for the entries that use this agent, between two
- * heartbeats: without it several entries fill the same slots. A single slot
- * that falls free is no news: the entry whose task ended there uses it. */
+/* News of free slots, between two heartbeats, for the entries whose tasks wait
+ * for room: without it several entries fill the same slots, and others stay
+ * free. While there is room for all, results and heartbeats tell enough. A
+ * single slot that falls free is no news: the entry whose task ended there
+ * uses it. */
 #include "agent_impl.h"
 
 static int
@@ -23,7 +25,7 @@
 static int
 is_due(const struct agent *agent, struct now now, const struct ag_entry *entry)
 {
-    return entry->start_us && now.us - entry->start_us < AG_NEWS_US &&
+    return entry->want_us && now.us - entry->want_us < AG_NEWS_US &&
            now.us - entry->news_us >= agent->entries.used * AG_NEWS_GAP_US;
 }
 
@@ -41,6 +43,16 @@
     }
 }
 
+void
+Agi_NoteWant(struct agent *agent, struct now now, uint64_t from)
+{
+    struct ag_entry *entry;
+    HASH_FIND(hh, agent->entry_index, &from, sizeof(from), entry);
+    if (entry) {
+        entry->want_us = now.us;
+    }
+}
+
 void
 Agi_CountTask(struct agent *agent, uint64_t from, int tasks)
 {
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -181,6 +181,9 @@
     if (code == CODE_NO_SLOT && Agi_Hold(agent, now, from, start, task) == 0) {
         return;
     }
+    if (code == CODE_NO_SLOT) {
+        Agi_NoteWant(agent, now, from);
+    }
     task->state = TASK_REFUSED;
     task->code = code;
     task->epoch = start->epoch;
