--- a/core/src/entry/status.c
+++ b/core/src/entry/status.c
@@ -124,6 +124,10 @@
     add(&text, "%s, %s: %u jobs open, %u known\n", entry->settings.dc,
         entry->draining ? "stopping" : "serving", entry->open_jobs,
         entry->jobs.used);
+    if (entry->pressure.refuse_percent) {
+        add(&text, "short of processor time: %u of 100 new jobs refused\n",
+            entry->pressure.refuse_percent);
+    }
     for (; service; service = service->hh.next) {
         print_service(&text, entry, now, service);
     }
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,7 +4,8 @@
 
 Arguments: port of the table service, then agent port and executor port for
 each executor. The operator writes with PUT /op/KEY at the table service; GET
-/runs there lists what the executors have seen.
+/runs there lists what the executors have seen, PUT /quiet true stops the
+heartbeats of the first one.
 """
 import base64
 import json
@@ -74,7 +75,7 @@
         self.lock = threading.Condition()
         self.fence, self.until, self.count, self.sequence = 0, 0, 0, 0
         self.running, self.ended, self.void, self.starts = {}, [], {}, []
-        self.over, self.state = 0, "ready"
+        self.over, self.state, self.is_quiet = 0, "ready", False
 
     def beat(self):
         self.sequence += 1
@@ -112,7 +113,7 @@
                         self.end(key, "lapsed")
                     elif clock_ms() > run["end"]:
                         self.end(key, "failed" if run["fails"] else "done")
-            if time.monotonic() > beats:
+            if time.monotonic() > beats and not self.is_quiet:
                 beats = time.monotonic() + 0.5
                 self.beat()
 
@@ -214,6 +215,8 @@
             body = self.body()
             if self.path == "/down":
                 store.is_down = json.loads(body)
+            elif self.path == "/quiet":
+                executors[0].is_quiet = json.loads(body)
             elif self.path == "/draining":
                 executors[0].state = "draining" if json.loads(body) else "ready"
                 executors[0].beat()
--- a/tests/test_pressure.c
+++ b/tests/test_pressure.c
@@ -106,6 +106,18 @@
     assert_int_equal(played.served, played.came);
 }
 
+static void
+the_status_tells_of_it(void **state)
+{
+    char text[1024];
+    (void)state;
+    Ent_PrintStatus(&node->entry, net.now, text, sizeof(text));
+    assert_null(strstr(text, "short of processor time"));
+    play(800, 3 * US_PER_S);
+    Ent_PrintStatus(&node->entry, net.now, text, sizeof(text));
+    assert_non_null(strstr(text, "short of processor time"));
+}
+
 static void
 a_job_that_is_known_is_let_in(void **state)
 {
@@ -140,6 +152,7 @@
         TEST(twice_the_load_is_served_in_part_and_in_time),
         TEST(the_end_of_a_burst_lets_all_in_again),
         TEST(a_pause_of_the_machine_refuses_nobody),
+        TEST(the_status_tells_of_it),
         TEST(a_job_that_is_known_is_let_in),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
