--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -18,8 +18,9 @@
 #define AG_MAX_ENTRIES 256
 /** Most starts that may wait for a slot. */
 #define AG_MAX_HOLDS 1024
-/** Outcomes that may wait for others of their job. */
-#define AG_MAX_WAITING 64
+/** Outcomes that may wait for others of their job; a full outbox only costs
+ * messages. */
+#define AG_OUTBOX_SIZE 64
 /** An entry whose tasks wait for room is told when the slots taken differ by
  * this many from what it knows, or all are taken. */
 #define AG_NEWS_SLOTS 2
@@ -162,7 +163,7 @@
 /** Outcomes that wait to be sent together. */
 struct ag_outbox {
     uint32_t count;
-    tab_handle tasks[AG_MAX_WAITING];
+    tab_handle tasks[AG_OUTBOX_SIZE];
 };
 
 /** The agent. */
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -355,7 +355,7 @@
     Agi_EndOrphans(agent, now);
     Agi_CheckHealth(agent, now);
     Agi_CheckHeld(agent, now);
-    Agi_SendWaiting(agent);
+    Agi_FlushOutbox(agent);
     Agi_SendNews(agent, now);
     check_leases(agent, now);
     if (agent->draining) {
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -106,12 +106,12 @@
 
 /* outbox.c */
 
-/** Send a task's outcome to its owner, or let it wait for those of the job's
+/** Send a task's outcome to its owner, or let it wait for those of its job's
  * other tasks here. */
 void Agi_Report(struct agent *agent, struct ag_task *task);
 
-/** Send all outcomes that wait. */
-void Agi_SendWaiting(struct agent *agent);
+/** Send all outcomes in the outbox. */
+void Agi_FlushOutbox(struct agent *agent);
 
 /* health.c */
 
--- a/core/src/agent/outbox.c
+++ b/core/src/agent/outbox.c
@@ -11,9 +11,9 @@
     return Agi_Epoch(agent, task->job->key.issuer).owner;
 }
 
-/* Send those that wait for `owner`, or for all when it is 0. */
+/* Send the outcomes for `owner`, or all when it is 0. */
 static void
-send_waiting(struct agent *agent, uint64_t owner)
+flush_outbox(struct agent *agent, uint64_t owner)
 {
     struct ag_outbox *outbox = &agent->outbox;
     uint32_t left = 0;
@@ -33,9 +33,9 @@
 }
 
 void
-Agi_SendWaiting(struct agent *agent)
+Agi_FlushOutbox(struct agent *agent)
 {
-    send_waiting(agent, 0);
+    flush_outbox(agent, 0);
 }
 
 void
@@ -43,11 +43,11 @@
 {
     struct ag_outbox *outbox = &agent->outbox;
     if (task->flags & SUB_RESTART && task->state == TASK_FINISHED &&
-        task->job->running > 0 && outbox->count < AG_MAX_WAITING) {
+        task->job->running > 0 && outbox->count < AG_OUTBOX_SIZE) {
         outbox->tasks[outbox->count++] = Tab_Handle(&agent->tasks, task);
         return;
     }
     uint64_t owner = owner_of(agent, task);
-    send_waiting(agent, owner);
+    flush_outbox(agent, owner);
     Agi_SendTask(agent, owner, MSG_RESULT, task);
 }
