Send answers over HTTP/2 with headers of their own

Cause: since the answer goes out in one write, its body stood in the headers frame of an HTTP/2 stream, which a TLS listener and an upgrade offer: no client could read it. Found on reading the change.

--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -250,6 +250,13 @@
     return lws_finalize_http_header(wsi, &p, end) ? NULL : p;
 }
 
+/* True for a stream of HTTP/2, whose headers have a frame of their own. */
+static int
+is_stream(struct lws *wsi)
+{
+    return lws_get_network_wsi(wsi) != wsi;
+}
+
 /* A short body goes out with the headers: one write, one packet, and no wait
  * for the next round of the loop. */
 static int
@@ -262,7 +269,7 @@
         return -1;
     }
     conn->headers_sent = 1;
-    if (conn->reply_size <= SHORT_BODY) {
+    if (conn->reply_size <= SHORT_BODY && !is_stream(wsi)) {
         memcpy(end, conn->reply + LWS_PRE, conn->reply_size);
         end += conn->reply_size;
         conn->reply_size = 0;
