--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -336,10 +336,6 @@
 int Enti_IsUsable(const struct entry *entry, struct now now,
                   const struct ent_peer *agent);
 
-/** Send a start, the first time or again. */
-void Enti_SendStart(struct entry *entry, struct now now, struct ent_job *job,
-                    struct ent_task *task);
-
 /** Put a task back into the queue after a true refusal. */
 void Enti_Requeue(struct entry *entry, struct now now, struct ent_job *job,
                   struct ent_task *task);
@@ -351,6 +347,12 @@
 void Enti_Release(struct entry *entry, const struct ent_job *job,
                   const struct ent_task *task);
 
+/* start.c */
+
+/** Send a start, the first time or again. */
+void Enti_SendStart(struct entry *entry, struct now now, struct ent_job *job,
+                    struct ent_task *task);
+
 /* result.c */
 
 /** Take in a task's outcome or a refusal. */
--- /dev/null
+++ b/core/src/entry/start.c
@@ -0,0 +1,68 @@
+/* The message that starts a task at an agent. */
+#include <string.h>
+
+#include "entry_impl.h"
+
+static uint32_t
+remaining_ms(struct now now, const struct ent_job *job)
+{
+    if (job->deadline_us <= now.us) {
+        return 0;
+    }
+    return (uint32_t)((job->deadline_us - now.us) / US_PER_MS);
+}
+
+static uint32_t
+hold_ms(const struct entry *entry, const struct ent_job *job,
+        const struct ent_task *task)
+{
+    const struct policy *policy =
+        Enti_Policy(entry, job->service_name, job->team);
+    if (entry->settings.mode == ENT_BASELINE || !task->may_wait) {
+        return 0;
+    }
+    return (uint32_t)policy->value[POL_HOLD_MS];
+}
+
+void
+Enti_SendStart(struct entry *entry, struct now now, struct ent_job *job,
+               struct ent_task *task)
+{
+    struct msg msg = {.type = MSG_START};
+    struct msg_start *start = &msg.u.start;
+    const struct ent_issuer *issuer = Enti_FindIssuer(entry, job->key.issuer);
+    if (!issuer) {
+        return;
+    }
+    start->key = job->key;
+    start->epoch = issuer->epoch;
+    start->task = task->no;
+    start->attempt = task->attempt;
+    start->deadline_ms = remaining_ms(now, job);
+    start->lease_ms =
+        (uint32_t)Enti_Policy(entry, job->service_name, job->team)
+            ->value[POL_LEASE_MS];
+    start->flags = job->flags;
+    if (job->service && job->service->use_suspects) {
+        start->flags |= START_ANYWAY;
+    }
+    start->priority = job->priority;
+    start->hold_ms = hold_ms(entry, job, task);
+    memcpy(start->kind, job->kind, sizeof(start->kind));
+    memcpy(start->team, job->team, sizeof(start->team));
+    start->body_hash = job->body_hash;
+    start->input = task->input;
+    start->name = job->name;
+    start->need = job->need;
+    start->expect_ms =
+        (uint32_t)(Enti_ExpectUs(job->kind_row, task->run_ms) / US_PER_MS);
+    const struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
+    start->heard_us = agent ? agent->echo_us : 0;
+    task->sent_us = now.us;
+    task->resend_us = now.us + START_RESEND_US;
+    if (task->resend_us < job->due_us) {
+        job->due_us = task->resend_us;
+    }
+    CTR_INC(entry->counters, tasks_sent);
+    Act_Send(&entry->sink, task->agent, &msg);
+}
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -73,6 +73,16 @@
     return msg;
 }
 
+/* A start by another entry, of another job. */
+static struct msg
+make_takers_start(uint32_t hold_ms)
+{
+    struct msg msg = make_start(9, 1, hold_ms);
+    msg.u.start.key.issuer = 78;
+    msg.u.start.epoch = (struct epoch){1, TAKER};
+    return msg;
+}
+
 static void
 start(uint32_t seq, uint32_t task, uint32_t hold_ms)
 {
@@ -220,9 +230,7 @@
 a_result_tells_whose_the_load_is(void **state)
 {
     (void)state;
-    struct msg other = make_start(9, 1, 0);
-    other.u.start.key.issuer = 78;
-    other.u.start.epoch = (struct epoch){1, TAKER};
+    struct msg other = make_takers_start(0);
     fill();
     deliver(TAKER, &other);
     assert_int_equal(result.code, CODE_NO_SLOT);
@@ -235,9 +243,7 @@
 {
     (void)state;
     struct msg beat = {.type = MSG_BEAT};
-    struct msg other = make_start(9, 1, 500);
-    other.u.start.key.issuer = 78;
-    other.u.start.epoch = (struct epoch){1, TAKER};
+    struct msg other = make_takers_start(500);
     deliver(601, &beat);
     deliver(TAKER, &other);
     offers = 0;
@@ -253,9 +259,7 @@
 no_news_while_there_is_room_for_all(void **state)
 {
     (void)state;
-    struct msg other = make_start(9, 1, 0);
-    other.u.start.key.issuer = 78;
-    other.u.start.epoch = (struct epoch){1, TAKER};
+    struct msg other = make_takers_start(0);
     deliver(TAKER, &other);
     uint64_t before = net.counters.value[CTR_news_sent];
     start(1, 1, 0);
@@ -269,9 +273,7 @@
 a_refusal_for_want_of_room_asks_for_news(void **state)
 {
     (void)state;
-    struct msg other = make_start(9, 1, 0);
-    other.u.start.key.issuer = 78;
-    other.u.start.epoch = (struct epoch){1, TAKER};
+    struct msg other = make_takers_start(0);
     fill();
     deliver(TAKER, &other);
     assert_int_equal(result.code, CODE_NO_SLOT);
