--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -56,6 +56,7 @@
     X(UNHEALTHY, 1209, 503, CODE_NOT_RUN, "worker fails what it starts")      \
     X(STALE_START, 1210, 503, CODE_NOT_RUN, "start was long on its way")      \
     X(NO_ROOM, 1211, 503, CODE_NOT_RUN, "resources of the upstream taken")    \
+    X(NO_LABEL, 1212, 503, CODE_NOT_RUN, "worker lacks the wanted label")     \
     X(NO_ROUTE, 1301, 404, CODE_NOT_RUN, "no such route")                     \
     X(TASK_FAILED, 2001, 502, CODE_RAN, "a task failed")                      \
     X(JOB_DEADLINE, 2002, 504, CODE_PARTLY, "deadline passed while running")  \
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -64,6 +64,7 @@
     uint32_t cores;
     uint32_t running;          /**< Tasks that it is running now. */
     struct resources capacity; /**< All 0 where only slots count. */
+    struct labels labels;
     uint8_t leaving;
 };
 
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -105,14 +105,15 @@
     struct resources capacity; /**< All 0 where only slots count. */
     struct resources used;     /**< By this entry's tasks. */
     struct resources others_used; /**< The same of others. */
-    double pace;                  /**< Run times there over those expected. */
-    uint8_t suspect;              /**< The agent says that its worker fails. */
-    uint32_t pace_count;          /**< Tasks behind `pace`, up to a bound. */
-    uint64_t pace_us;             /**< When the latest of them ended. */
-    struct policy policy;         /**< In force for tasks that run there. */
-    uint64_t config;              /**< Configuration that it has applied. */
-    uint64_t members;             /**< Rows that it has applied; entries. */
-    uint64_t ask_us;              /**< Its latest question, to be echoed. */
+    struct labels labels;
+    double pace;          /**< Run times there over those expected. */
+    uint8_t suspect;      /**< The agent says that its worker fails. */
+    uint32_t pace_count;  /**< Tasks behind `pace`, up to a bound. */
+    uint64_t pace_us;     /**< When the latest of them ended. */
+    struct policy policy; /**< In force for tasks that run there. */
+    uint64_t config;      /**< Configuration that it has applied. */
+    uint64_t members;     /**< Rows that it has applied; entries. */
+    uint64_t ask_us;      /**< Its latest question, to be echoed. */
     uint64_t vouch_us;    /**< When the question was sent that its latest
                                vouching answered, 0 for none. */
     uint64_t push_us;     /**< When state was last sent to it. */
@@ -127,6 +128,7 @@
 /** What an entry knows of a task of its job. */
 enum ent_task_state {
     ENT_WAITING = 0, /**< Not started anywhere. */
+    ENT_BLOCKED,     /**< The same; earlier steps have not ended. */
     ENT_SENT,        /**< Sent to an agent, outcome not yet known. */
     ENT_LOST,        /**< Its agent is gone; its run may not have ended. */
     ENT_DONE,
@@ -136,6 +138,7 @@
 struct ent_task {
     uint32_t no;
     uint32_t run_ms;
+    uint32_t step;
     struct bytes input;
     enum ent_task_state state;
     uint8_t may_wait;  /**< Sent to wait for a slot at a full agent. */
@@ -147,6 +150,20 @@
     struct bytes output; /**< Owned. */
 };
 
+/** A step of a job: its tasks stand next to each other. */
+struct ent_step {
+    struct sub_step want;
+    uint32_t first; /**< Index of its first task. */
+    uint32_t count;
+    uint32_t waiting;    /**< Tasks in ENT_WAITING. */
+    uint32_t open;       /**< Tasks not in ENT_DONE. */
+    uint32_t next;       /**< Index of the task that is looked at next. */
+    uint64_t task_us;    /**< Expected run time of one task. */
+    uint64_t longest_us; /**< The same of the longest task. */
+    uint64_t chain_us;   /**< From its start to the end of all that waits for
+                              it, by the longest tasks. */
+};
+
 /** What an agent reported of a task when its issuer was taken over. */
 struct ent_held {
     struct ent_held *next;
@@ -190,29 +207,30 @@
     char team[WIRE_NAME_SIZE];
     uint32_t memory_mb;
     uint32_t cores;
+    uint32_t max_attempts; /**< Failed runs of a task that end the job. */
     enum priority priority;
     unsigned flags;
-    uint64_t name;         /**< The caller's, 0 for none. */
-    struct resources need; /**< Of each task. */
-    uint32_t max_attempts; /**< Failed runs of a task that end the job. */
+    uint64_t name; /**< The caller's, 0 for none. */
     uint64_t
         objective_us; /**< When its answer is wanted, 0: by its deadline. */
     uint64_t body_hash;
     uint64_t submitted_us;
     uint64_t deadline_us;
     void *body; /**< Inputs of the tasks, owned. */
+    struct ent_step *steps;
     struct ent_task *tasks;
+    uint32_t step_count;
     uint32_t task_count;
     uint32_t waiting; /**< Tasks in ENT_WAITING. */
+    uint32_t blocked; /**< Tasks in ENT_BLOCKED. */
     uint32_t open;    /**< Tasks not in ENT_DONE. */
-    uint32_t next_waiting;
     uint8_t queued;
     uint8_t is_begun; /**< Its turn came while it could still end in time. */
-    uint64_t not_before_us; /**< Its tasks are not placed before this. */
-    uint8_t read;           /**< A caller has read the answer. */
-    uint8_t is_named;       /**< Found by its caller's name. */
-    uint8_t is_late;        /**< It cannot end when it is wanted. */
+    uint8_t read;     /**< A caller has read the answer. */
+    uint8_t is_named; /**< Found by its caller's name. */
+    uint8_t is_late;  /**< It cannot end when it is wanted. */
     enum code code;
+    uint64_t not_before_us; /**< Its tasks are not placed before this. */
     char detail[WIRE_ADDR_SIZE];
     uint32_t retry_after_ms;
     struct ent_waiter *waiters;
@@ -228,7 +246,8 @@
     struct ent_share *share;   /**< Its team's part, never NULL once filled. */
     struct ent_kind *kind_row; /**< What is known of its kind, the same. */
     uint64_t task_us;          /**< Expected run time of one task. */
-    uint64_t longest_us;       /**< The same of the longest task. */
+    uint64_t longest_us;       /**< The same of all that is left, were there
+                                    room for all that may start. */
     uint64_t home;       /**< Agent that its tasks go to while it has room, by
                               incarnation; 0 for none. */
     uint64_t tag;        /**< Place in the fair order of its queue. */
--- a/core/include/core/route.h
+++ b/core/include/core/route.h
@@ -24,6 +24,8 @@
     uint32_t stretch_percent; /**< Wanted response over the longest task. */
     uint32_t max_attempts;    /**< Failed runs of a task that end its job. */
     uint32_t priority;        /**< 0 is the most urgent. */
+    uint8_t needs_advice;     /**< Another service says which workers may run
+                                   its jobs. */
 };
 
 /** All routes of one version. */
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -57,6 +57,16 @@
     agent->registered = version;
 }
 
+/* Whether other tasks may run there than before. */
+static int
+is_other_worker(const struct ag_announce *a, const struct ag_announce *b)
+{
+    return strcmp(a->service, b->service) != 0 ||
+           a->labels.count != b->labels.count ||
+           memcmp(a->labels.names, b->labels.names,
+                  a->labels.count * sizeof(a->labels.names[0])) != 0;
+}
+
 void
 Ag_OnAnnounce(struct agent *agent, struct now now,
               const struct ag_announce *announce)
@@ -68,9 +78,13 @@
     if (agent->announced_us == 0 || least < agent->foreign) {
         agent->foreign = least;
     }
+    int is_other = is_other_worker(&agent->upstream, announce);
     agent->upstream = *announce;
     agent->announced_us = now.us;
     agent->least = agent->busy + agent->calls;
+    if (is_other) {
+        Ag_TellAll(agent);
+    }
 }
 
 void
@@ -85,6 +99,15 @@
     Agi_SendOffer(agent, entry);
 }
 
+struct ag_entry *
+Agi_FindEntry(const struct agent *agent, uint64_t incarnation)
+{
+    struct ag_entry *entry;
+    HASH_FIND(hh, agent->entry_index, &incarnation, sizeof(incarnation),
+              entry);
+    return entry;
+}
+
 void
 Agi_SendOffer(struct agent *agent, struct ag_entry *entry)
 {
@@ -98,6 +121,7 @@
         status->cores = agent->upstream.cores;
     }
     status->capacity = agent->upstream.capacity;
+    status->labels = agent->upstream.labels;
     status->busy = Agi_Busy(agent);
     status->used = agent->used;
     status->mine_used = entry->used;
@@ -127,8 +151,7 @@
 static struct ag_entry *
 hear_entry(struct agent *agent, struct now now, const struct frame_head *head)
 {
-    struct ag_entry *entry;
-    HASH_FIND(hh, agent->entry_index, &head->from, sizeof(head->from), entry);
+    struct ag_entry *entry = Agi_FindEntry(agent, head->from);
     if (!entry) {
         entry = Tab_Add(&agent->entries);
         if (!entry) {
@@ -169,12 +192,10 @@
 Ag_OnStranger(struct agent *agent, struct now now,
               const struct frame_head *head)
 {
-    struct ag_entry *entry;
     if (head->role != ROLE_ENTRY) {
         return;
     }
-    HASH_FIND(hh, agent->entry_index, &head->from, sizeof(head->from), entry);
-    if (!entry && hear_entry(agent, now, head)) {
+    if (!Agi_FindEntry(agent, head->from) && hear_entry(agent, now, head)) {
         CTR_INC(agent->counters, strangers);
     }
 }
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -86,6 +86,10 @@
 /** Slots taken, as entries are told. */
 uint32_t Agi_Busy(const struct agent *agent);
 
+/** An entry by its incarnation, NULL when it is not known. */
+struct ag_entry *Agi_FindEntry(const struct agent *agent,
+                               uint64_t incarnation);
+
 /** Tell an entry what the upstream offers now. */
 void Agi_SendOffer(struct agent *agent, struct ag_entry *entry);
 
--- a/core/src/agent/news.c
+++ b/core/src/agent/news.c
@@ -46,8 +46,7 @@
 void
 Agi_NoteWant(struct agent *agent, struct now now, uint64_t from)
 {
-    struct ag_entry *entry;
-    HASH_FIND(hh, agent->entry_index, &from, sizeof(from), entry);
+    struct ag_entry *entry = Agi_FindEntry(agent, from);
     if (entry) {
         entry->want_us = now.us;
     }
@@ -56,8 +55,7 @@
 void
 Agi_CountTask(struct agent *agent, uint64_t from, int tasks)
 {
-    struct ag_entry *entry;
-    HASH_FIND(hh, agent->entry_index, &from, sizeof(from), entry);
+    struct ag_entry *entry = Agi_FindEntry(agent, from);
     if (entry && (tasks > 0 || entry->tasks > 0)) {
         entry->tasks += (uint32_t)tasks;
     }
@@ -76,8 +74,7 @@
 void
 Agi_NoteTold(struct agent *agent, uint64_t to, struct msg_result *result)
 {
-    struct ag_entry *entry;
-    HASH_FIND(hh, agent->entry_index, &to, sizeof(to), entry);
+    struct ag_entry *entry = Agi_FindEntry(agent, to);
     result->busy = Agi_Busy(agent);
     result->used = agent->used;
     if (entry) {
--- a/core/src/agent/offer.c
+++ b/core/src/agent/offer.c
@@ -9,12 +9,7 @@
 find_owner(const struct agent *agent, const struct ag_task *task)
 {
     uint64_t owner = Agi_Epoch(agent, task->job->key.issuer).owner;
-    struct ag_entry *entry;
-    if (owner == 0) {
-        owner = task->epoch.owner;
-    }
-    HASH_FIND(hh, agent->entry_index, &owner, sizeof(owner), entry);
-    return entry;
+    return Agi_FindEntry(agent, owner ? owner : task->epoch.owner);
 }
 
 static int
--- a/core/src/agent/room.c
+++ b/core/src/agent/room.c
@@ -36,9 +36,8 @@
 void
 Agi_Take(struct agent *agent, const struct ag_task *task, int sign)
 {
-    struct ag_entry *entry;
     add(&agent->used, &task->need, sign);
-    HASH_FIND(hh, agent->entry_index, &task->from, sizeof(task->from), entry);
+    struct ag_entry *entry = Agi_FindEntry(agent, task->from);
     if (entry && (sign > 0 || entry->used.cpu >= task->need.cpu)) {
         add(&entry->used, &task->need, sign);
     }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -85,6 +85,9 @@
     if (agent->announced_us == 0) {
         return CODE_NO_UPSTREAM;
     }
+    if (!Labels_Has(&agent->upstream.labels, start->label)) {
+        return CODE_NO_LABEL;
+    }
     enum code code = Agi_CheckSuspect(agent, start);
     if (code != CODE_OK) {
         return code;
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -101,16 +101,29 @@
 }
 
 static int
-fits_any(const struct ent_service *service, const struct ent_job *job)
+fits_any(const struct ent_service *service, const struct ent_job *job,
+         const struct ent_step *step)
 {
     const struct ent_peer *agent;
     DL_FOREACH(service->agents, agent)
     {
-        if (Enti_CouldFit(agent, job)) {
+        if (Enti_CouldFit(agent, job, step)) {
             return 1;
         }
     }
-    return service->agents == NULL;
+    return 0;
+}
+
+/* Each step has an agent that could run it, as far as agents are known. */
+static int
+can_run(const struct ent_service *service, const struct ent_job *job)
+{
+    for (uint32_t i = 0; i < job->step_count; i++) {
+        if (service->agents && !fits_any(service, job, &job->steps[i])) {
+            return 0;
+        }
+    }
+    return 1;
 }
 
 enum code
@@ -156,7 +169,7 @@
     if (!service) {
         return CODE_UNKNOWN_SERVICE;
     }
-    if (!joining && !fits_any(service, job)) {
+    if (!joining && !can_run(service, job)) {
         return CODE_CANNOT_RUN;
     }
     if (entry->settings.mode == ENT_BASELINE) {
--- a/core/src/entry/ask.c
+++ b/core/src/entry/ask.c
@@ -4,7 +4,7 @@
 static void
 cancel_job(struct entry *entry, struct ent_job *job)
 {
-    int started = job->waiting < job->task_count || job->maybe_ran;
+    int started = Enti_IsBegun(job);
     Enti_SendCancel(entry, job);
     Enti_Answer(entry, job, started ? CODE_JOB_CANCELLED : CODE_CANCELLED,
                 NULL);
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -183,7 +183,7 @@
     case ENT_JOB_COLLECTING:
         return CODE_OUTCOME_UNKNOWN;
     default:
-        if (job->waiting == job->task_count && !job->maybe_ran) {
+        if (!Enti_IsBegun(job)) {
             return CODE_DEADLINE_PASSED;
         }
         return CODE_JOB_DEADLINE;
--- a/core/src/entry/entry_impl.h
+++ b/core/src/entry/entry_impl.h
@@ -218,16 +218,52 @@
  * known here; UINT32_MAX where only slots count. */
 uint32_t Enti_Fits(const struct ent_peer *agent, const struct resources *need);
 
-/** True when an agent could ever run a task of the job. */
-int Enti_CouldFit(const struct ent_peer *agent, const struct ent_job *job);
+/** True when an agent could ever run a task of the step. */
+int Enti_CouldFit(const struct ent_peer *agent, const struct ent_job *job,
+                  const struct ent_step *step);
 
 /** Count (or, with `sign` -1, count no more) a task's need at an agent. */
-void Enti_Take(struct ent_peer *agent, const struct ent_job *job, int sign);
+void Enti_Take(struct ent_peer *agent, const struct resources *need, int sign);
 
 /** Take in what an agent says is taken, and what of it by this entry. */
 void Enti_NoteUsed(struct ent_peer *agent, const struct resources *used,
                    const struct resources *mine);
 
+/* step.c */
+
+/** Copy the steps of a submission whose tasks have been copied. Returns -1
+ * for lack of memory. */
+int Enti_FillSteps(struct ent_job *job, const struct submission *sub);
+
+/** Begin anew: the tasks of the steps that wait for no other may start. */
+void Enti_ResetSteps(struct ent_job *job);
+
+/** Work out how long the steps should take, and the job with them. */
+void Enti_ExpectSteps(struct ent_job *job);
+
+/** True when a task of the job has been sent, now or before. */
+int Enti_IsBegun(const struct ent_job *job);
+
+/** The step with waiting tasks that most work depends on, of those whose bit
+ * in `passed` is not set. NULL when there is none. */
+struct ent_step *Enti_NextStep(const struct ent_job *job, uint64_t passed);
+
+/** The next task of a step that has waiting ones. */
+struct ent_task *Enti_NextWaiting(const struct ent_job *job,
+                                  struct ent_step *step);
+
+/** Note that a task waits again (1), or no more (-1). */
+void Enti_CountTask(struct ent_job *job, const struct ent_task *task,
+                    int waits);
+
+/** A task has ended well. Returns how many tasks may start now that had to
+ * wait for its step. */
+uint32_t Enti_EndTask(struct ent_job *job, const struct ent_task *task);
+
+/** Tasks of the step that may yet run at an agent. */
+uint32_t Enti_CountAt(const struct ent_job *job, const struct ent_step *step,
+                      uint64_t agent);
+
 /* learn.c */
 
 /** What is known of a kind of task; never NULL. */
@@ -336,6 +372,9 @@
 int Enti_IsUsable(const struct entry *entry, struct now now,
                   const struct ent_peer *agent);
 
+/** Tasks of a job that waited for a step may start. */
+void Enti_Unblock(struct entry *entry, struct ent_job *job, uint32_t count);
+
 /** Put a task back into the queue after a true refusal. */
 void Enti_Requeue(struct entry *entry, struct now now, struct ent_job *job,
                   struct ent_task *task);
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -132,6 +132,9 @@
     free(job->tasks);
     job->tasks = NULL;
     job->task_count = 0;
+    free(job->steps);
+    job->steps = NULL;
+    job->step_count = 0;
 }
 
 void
@@ -201,6 +204,7 @@
         const struct sub_task *task = &sub->tasks[i];
         tasks[i].no = task->no;
         tasks[i].run_ms = task->run_ms;
+        tasks[i].step = task->step;
         tasks[i].input.data = body;
         tasks[i].input.size = task->input.size;
         if (task->input.size) {
@@ -218,6 +222,11 @@
     if (copy_tasks(job, sub)) {
         return -1;
     }
+    if (Enti_FillSteps(job, sub)) {
+        drop_body(job);
+        drop_tasks(job);
+        return -1;
+    }
     memcpy(job->service_name, sub->service, sizeof(job->service_name));
     memcpy(job->kind, sub->kind, sizeof(job->kind));
     memcpy(job->team, sub->team, sizeof(job->team));
@@ -226,13 +235,11 @@
     job->priority = sub->priority;
     job->flags = sub->flags;
     job->name = sub->name;
-    job->need = sub->need;
     job->max_attempts = sub->max_attempts;
     job->body_hash = Enti_HashBody(sub);
     job->submitted_us = now.us;
     job->deadline_us = now.us + sub->deadline_ms * US_PER_MS;
-    job->waiting = job->task_count;
-    job->open = job->task_count;
+    Enti_ResetSteps(job);
     return 0;
 }
 
--- a/core/src/entry/learn.c
+++ b/core/src/entry/learn.c
@@ -100,7 +100,8 @@
         kind->per_declared =
             blend(kind->per_declared, factor, &kind->declared, MEMORY_TASKS);
     }
-    if (is_known && expect_us > 0) {
+    if (is_known && expect_us > 0 &&
+        Labels_Has(&agent->labels, job->steps[task->step].want.near)) {
         double pace = run_us / expect_us;
         pace = pace < LEAST_PACE ? LEAST_PACE : pace;
         pace = pace > MOST_PACE ? MOST_PACE : pace;
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -281,6 +281,7 @@
     peer->slots = status->slots;
     peer->connections = status->connections;
     peer->capacity = status->capacity;
+    peer->labels = status->labels;
     Enti_NoteUsed(peer, &status->used, &status->mine_used);
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -28,22 +28,36 @@
     return used < room ? room - used : 0;
 }
 
-/* The same for one job: as often as one of its tasks fits. */
+/* The same for one step: as often as one of its tasks fits. */
 static uint32_t
 room_for(struct now now, const struct ent_peer *agent,
-         const struct ent_job *job)
+         const struct ent_job *job, const struct ent_step *step)
 {
     uint32_t room = free_room(now, agent, job->flags);
-    uint32_t fits = Enti_Fits(agent, &job->need);
+    uint32_t fits = Enti_Fits(agent, &step->want.need);
     return fits < room ? fits : room;
 }
 
+/* More tasks of the step that may be at an agent. */
+static uint32_t
+room_apart(const struct ent_peer *agent, const struct ent_job *job,
+           const struct ent_step *step)
+{
+    uint32_t most = step->want.most_together;
+    if (most == 0) {
+        return UINT32_MAX;
+    }
+    uint32_t there = Enti_CountAt(job, step, agent->member.incarnation);
+    return there < most ? most - there : 0;
+}
+
 static int
-may_run(const struct ent_peer *agent, const struct ent_job *job)
+may_run(const struct ent_peer *agent, const struct ent_job *job,
+        const struct ent_step *step)
 {
     return (Enti_IsRestartable(job) ||
             agent->member.registered <= job->key.rv) &&
-           Enti_CouldFit(agent, job);
+           Enti_CouldFit(agent, job, step) && room_apart(agent, job, step) > 0;
 }
 
 static int
@@ -131,38 +145,48 @@
  * spread over, the fewer jobs are lost with one, and the fewer messages it
  * takes. NULL when it has no room left. */
 static struct ent_peer *
-find_home(const struct entry *entry, struct now now, const struct ent_job *job)
+find_home(const struct entry *entry, struct now now, const struct ent_job *job,
+          const struct ent_step *step)
 {
     struct ent_peer *home = job->home ? Enti_FindPeer(entry, job->home) : NULL;
     if (!home || home->service != job->service ||
-        room_for(now, home, job) <= LAST_PLACE ||
-        !Enti_IsUsable(entry, now, home) || !may_run(home, job) ||
+        room_for(now, home, job, step) <= LAST_PLACE ||
+        !Enti_IsUsable(entry, now, home) || !may_run(home, job, step) ||
+        !Labels_Has(&home->labels, step->want.near) ||
         is_slow(entry, now, home)) {
         return NULL;
     }
     return home;
 }
 
-enum { NEAR, FAR, TIGHT, SLOW, SPARE, CHOICES };
+enum { BESIDE, NEAR, FAR, TIGHT, SLOW, SPARE, CHOICES };
 
-/* In this data centre before others, slow agents last. */
+static int
+is_beside(const struct ent_peer *agent, const struct ent_step *step)
+{
+    return step->want.near[0] && Labels_Has(&agent->labels, step->want.near);
+}
+
+/* Beside the data of the step, then in this data centre, then in others; slow
+ * agents last. */
 static struct ent_peer *
-pick_agent(struct entry *entry, struct now now, const struct ent_job *job)
+pick_agent(struct entry *entry, struct now now, const struct ent_job *job,
+           const struct ent_step *step)
 {
     struct choice choices[CHOICES] = {{NULL, 0}};
-    struct ent_peer *agent = find_home(entry, now, job);
+    struct ent_peer *agent = find_home(entry, now, job, step);
     if (agent) {
         return agent;
     }
     DL_FOREACH(job->service->agents, agent)
     {
-        uint32_t room = room_for(now, agent, job);
+        uint32_t room = room_for(now, agent, job, step);
         uint32_t spare = 0;
         if (room == 0 && !(job->flags & SUB_REQUEST)) {
             spare = spare_room(entry, now, job->service, agent);
         }
         if (room + spare == 0 || !Enti_IsUsable(entry, now, agent) ||
-            !may_run(agent, job)) {
+            !may_run(agent, job, step)) {
             continue;
         }
         if (spare) {
@@ -171,19 +195,18 @@
         }
         int near = strcmp(agent->member.dc, entry->settings.dc) == 0;
         int index = near ? NEAR : room > LAST_PLACE ? FAR : TIGHT;
+        if (is_beside(agent, step)) {
+            index = BESIDE;
+        }
         if (is_slow(entry, now, agent)) {
             index = SLOW;
         }
         consider(entry, &choices[index], agent, room, index == NEAR);
     }
-    if (choices[NEAR].agent) {
-        return choices[NEAR].agent;
-    }
-    if (choices[FAR].agent) {
-        return choices[FAR].agent;
-    }
-    if (choices[TIGHT].agent) {
-        return choices[TIGHT].agent;
+    for (int i = BESIDE; i <= TIGHT; i++) {
+        if (choices[i].agent) {
+            return choices[i].agent;
+        }
     }
     agent = choices[SLOW].agent;
     if (agent &&
@@ -196,14 +219,15 @@
 
 /* The baseline: any agent, whatever is known of it. */
 static struct ent_peer *
-pick_random(struct entry *entry, struct now now, const struct ent_job *job)
+pick_random(struct entry *entry, struct now now, const struct ent_job *job,
+            const struct ent_step *step)
 {
     struct ent_peer *picked = NULL;
     struct ent_peer *agent;
     uint32_t seen = 0;
     DL_FOREACH(job->service->agents, agent)
     {
-        if (may_run(agent, job) && Enti_IsUsable(entry, now, agent) &&
+        if (may_run(agent, job, step) && Enti_IsUsable(entry, now, agent) &&
             Enti_Random(entry) % ++seen == 0) {
             picked = agent;
         }
@@ -211,43 +235,16 @@
     return picked;
 }
 
-/* The last task to end decides, so the longest is started first. */
-static struct ent_task *
-longest_waiting(struct ent_job *job)
-{
-    struct ent_task *longest = NULL;
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        struct ent_task *task = &job->tasks[i];
-        if (task->state == ENT_WAITING &&
-            (!longest || task->run_ms > longest->run_ms)) {
-            longest = task;
-        }
-    }
-    return longest;
-}
-
-static struct ent_task *
-next_waiting(struct ent_job *job)
-{
-    if (job->longest_us > job->task_us) {
-        return longest_waiting(job);
-    }
-    while (job->tasks[job->next_waiting].state != ENT_WAITING) {
-        job->next_waiting = (job->next_waiting + 1) % job->task_count;
-    }
-    return &job->tasks[job->next_waiting];
-}
-
 static void
 send_task(struct entry *entry, struct now now, struct ent_job *job,
-          struct ent_peer *agent)
+          struct ent_step *step, struct ent_peer *agent)
 {
-    struct ent_task *task = next_waiting(job);
+    struct ent_task *task = Enti_NextWaiting(job, step);
     task->state = ENT_SENT;
     task->attempt++;
     task->agent = agent->member.incarnation;
     job->home = job->flags & SUB_REQUEST ? 0 : task->agent;
-    job->waiting--;
+    Enti_CountTask(job, task, -1);
     Enti_CountWaiting(job, -1);
     Enti_Served(entry, job);
     if (job->flags & SUB_REQUEST) {
@@ -255,7 +252,7 @@
     }
     else {
         agent->outstanding++;
-        Enti_Take(agent, job, 1);
+        Enti_Take(agent, &step->want.need, 1);
         job->share->running++;
     }
     if (job->waiting == 0) {
@@ -273,21 +270,26 @@
     if (job->not_before_us > now.us || !Enti_MayTake(entry, now, job)) {
         return -1;
     }
-    struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
-                                 ? pick_random(entry, now, job)
-                                 : pick_agent(entry, now, job);
-    if (!agent) {
-        return -1;
+    uint64_t passed = 0;
+    struct ent_step *step;
+    while ((step = Enti_NextStep(job, passed))) {
+        struct ent_peer *agent = entry->settings.mode == ENT_BASELINE
+                                     ? pick_random(entry, now, job, step)
+                                     : pick_agent(entry, now, job, step);
+        if (agent) {
+            send_task(entry, now, job, step, agent);
+            return 0;
+        }
+        passed |= (uint64_t)1 << (step - job->steps);
     }
-    send_task(entry, now, job, agent);
-    return 0;
+    return -1;
 }
 
 /* A job whose turn has come although it can no longer end in time. */
 static int
 drop_late(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (job->is_begun || job->maybe_ran || job->waiting < job->task_count ||
+    if (job->is_begun || Enti_IsBegun(job) ||
         entry->settings.mode == ENT_BASELINE) {
         return 0;
     }
@@ -424,7 +426,21 @@
     if (*used > 0) {
         (*used)--;
     }
-    Enti_Take(agent, job, -1);
+    Enti_Take(agent, &job->steps[task->step].want.need, -1);
+}
+
+/* `count` tasks more wait; `again` keeps the job's place in its queue. */
+static void
+wait_again(struct entry *entry, struct ent_job *job, int count, int again)
+{
+    if (job->queued) {
+        Enti_CountWaiting(job, count);
+        return;
+    }
+    if (!job->service) {
+        job->service = Enti_Service(entry, job->service_name, 1);
+    }
+    Enti_Enqueue(entry, job, again);
 }
 
 void
@@ -439,13 +455,12 @@
     /* What went wrong there may go wrong again. */
     job->home = 0;
     task->state = ENT_WAITING;
-    job->waiting++;
-    if (job->queued) {
-        Enti_CountWaiting(job, 1);
-        return;
-    }
-    if (!job->service) {
-        job->service = Enti_Service(entry, job->service_name, 1);
-    }
-    Enti_Enqueue(entry, job, 1);
+    Enti_CountTask(job, task, 1);
+    wait_again(entry, job, 1, 1);
+}
+
+void
+Enti_Unblock(struct entry *entry, struct ent_job *job, uint32_t count)
+{
+    wait_again(entry, job, (int)count, 0);
 }
--- a/core/src/entry/restart.c
+++ b/core/src/entry/restart.c
@@ -117,7 +117,7 @@
 Ent_LookNamed(const struct entry *entry, uint64_t name, int *is_running)
 {
     const struct ent_job *job = Enti_FindNamed(entry, name);
-    *is_running = job && (job->waiting < job->task_count || job->maybe_ran);
+    *is_running = job && Enti_IsBegun(job);
     return job != NULL;
 }
 
@@ -127,8 +127,7 @@
     uint32_t count = 0;
     for (uint32_t i = 0; i < entry->open_jobs; i++) {
         const struct ent_job *job = entry->open[i];
-        count += job->waiting == job->task_count && !job->maybe_ran &&
-                 strcmp(job->kind, kind) == 0;
+        count += !Enti_IsBegun(job) && strcmp(job->kind, kind) == 0;
     }
     return count;
 }
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -93,10 +93,13 @@
     task->state = ENT_DONE;
     task->output.data = copy;
     task->output.size = output.size;
-    job->open--;
+    uint32_t freed = Enti_EndTask(job, task);
     if (job->open == 0) {
         Enti_Answer(entry, job, CODE_OK, NULL);
     }
+    else if (freed) {
+        Enti_Unblock(entry, job, freed);
+    }
 }
 
 /* The task may have been run by an agent that cannot tell. */
@@ -117,6 +120,14 @@
     Enti_Requeue(entry, now, job, task);
 }
 
+/* Refusals after which the agent may be sent other starts at once. */
+static int
+says_nothing_of_agent(enum code code)
+{
+    return code == CODE_NO_SLOT || code == CODE_NO_ROOM ||
+           code == CODE_STALE_START || code == CODE_NO_LABEL;
+}
+
 static void
 on_refused(struct entry *entry, struct now now, struct ent_job *job,
            struct ent_task *task, struct ent_peer *agent,
@@ -145,8 +156,10 @@
     if (result->code == CODE_UNHEALTHY) {
         agent->suspect = 1;
     }
-    else if (result->code != CODE_NO_SLOT && result->code != CODE_NO_ROOM &&
-             result->code != CODE_STALE_START) {
+    else if (says_nothing_of_agent(result->code)) {
+        return;
+    }
+    else {
         agent->leaving = 1;
     }
 }
--- a/core/src/entry/room.c
+++ b/core/src/entry/room.c
@@ -37,13 +37,16 @@
 }
 
 int
-Enti_CouldFit(const struct ent_peer *agent, const struct ent_job *job)
+Enti_CouldFit(const struct ent_peer *agent, const struct ent_job *job,
+              const struct ent_step *step)
 {
     const struct resources *all = &agent->capacity;
+    const struct resources *need = &step->want.need;
     return agent->memory_mb >= job->memory_mb && agent->cores >= job->cores &&
-           (!is_limited(all) || (all->cpu >= job->need.cpu &&
-                                 all->memory_mb >= job->need.memory_mb &&
-                                 all->gpu >= job->need.gpu));
+           Labels_Has(&agent->labels, step->want.label) &&
+           (!is_limited(all) ||
+            (all->cpu >= need->cpu && all->memory_mb >= need->memory_mb &&
+             all->gpu >= need->gpu));
 }
 
 static void
@@ -58,11 +61,11 @@
 }
 
 void
-Enti_Take(struct ent_peer *agent, const struct ent_job *job, int sign)
+Enti_Take(struct ent_peer *agent, const struct resources *need, int sign)
 {
-    add(&agent->used.cpu, job->need.cpu, sign);
-    add(&agent->used.memory_mb, job->need.memory_mb, sign);
-    add(&agent->used.gpu, job->need.gpu, sign);
+    add(&agent->used.cpu, need->cpu, sign);
+    add(&agent->used.memory_mb, need->memory_mb, sign);
+    add(&agent->used.gpu, need->gpu, sign);
 }
 
 static uint32_t
--- a/core/src/entry/start.c
+++ b/core/src/entry/start.c
@@ -53,7 +53,9 @@
     start->body_hash = job->body_hash;
     start->input = task->input;
     start->name = job->name;
-    start->need = job->need;
+    const struct sub_step *want = &job->steps[task->step].want;
+    start->need = want->need;
+    memcpy(start->label, want->label, sizeof(start->label));
     start->expect_ms =
         (uint32_t)(Enti_ExpectUs(job->kind_row, task->run_ms) / US_PER_MS);
     const struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -13,7 +13,7 @@
 {
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_Service(entry, job->service_name, 0);
-    if (job->waiting == job->task_count && !job->maybe_ran) {
+    if (!Enti_IsBegun(job)) {
         enum code code = Enti_Admit(entry, now, job);
         if (code != CODE_OK) {
             Enti_Answer(entry, job, code, job->service_name);
@@ -61,16 +61,9 @@
 static void
 expect(struct entry *entry, struct ent_job *job, const struct submission *sub)
 {
-    uint64_t sum_us = 0;
     job->share = Enti_Share(entry, job->service_name, job->team);
     job->kind_row = Enti_Kind(entry, job->service_name, job->kind);
-    job->longest_us = 0;
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        uint64_t us = Enti_ExpectUs(job->kind_row, job->tasks[i].run_ms);
-        sum_us += us;
-        job->longest_us = us > job->longest_us ? us : job->longest_us;
-    }
-    job->task_us = job->task_count ? sum_us / job->task_count : 0;
+    Enti_ExpectSteps(job);
     if (sub->stretch_percent) {
         job->objective_us = job->submitted_us +
                             job->longest_us * sub->stretch_percent / 100 +
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -207,8 +207,8 @@
         task->agent = held->agent;
         task->output = held->output;
         held->output = (struct bytes){NULL, 0};
-        job->open--;
-        job->waiting--;
+        Enti_CountTask(job, task, -1);
+        Enti_EndTask(job, task);
         return CODE_OK;
     case TASK_RUNNING:
         if (!agent) {
@@ -217,7 +217,7 @@
         task->state = ENT_SENT;
         task->agent = held->agent;
         task->resend_us = now.us + START_RESEND_US;
-        job->waiting--;
+        Enti_CountTask(job, task, -1);
         if (job->flags & SUB_REQUEST) {
             agent->calls++;
         }
@@ -244,13 +244,10 @@
         struct ent_task *task = &job->tasks[i];
         free((void *)task->output.data);
         task->output = (struct bytes){NULL, 0};
-        task->state = ENT_WAITING;
         task->attempt = 0;
         task->agent = 0;
     }
-    job->waiting = job->task_count;
-    job->open = job->task_count;
-    job->next_waiting = 0;
+    Enti_ResetSteps(job);
     job->due_us = 0;
 }
 
--- a/core/src/entry/urgency.c
+++ b/core/src/entry/urgency.c
@@ -41,12 +41,6 @@
     return start_by(job) + (uint64_t)job->priority * CLASS_LEAD_US;
 }
 
-static int
-is_begun(const struct ent_job *job)
-{
-    return job->maybe_ran || job->waiting < job->task_count;
-}
-
 static void
 age_due(struct entry *entry, struct now now, struct ent_lane *lane)
 {
@@ -55,7 +49,7 @@
     DL_FOREACH_SAFE(lane->jobs, job, following)
     {
         /* What has been begun is finished first: its work is done already. */
-        if (start_by(job) >= now.us || is_begun(job)) {
+        if (start_by(job) >= now.us || Enti_IsBegun(job)) {
             continue;
         }
         CTR_INC(entry->counters, jobs_late);
@@ -73,7 +67,7 @@
     struct ent_job *following;
     DL_FOREACH_SAFE(lane->jobs, job, following)
     {
-        if (start_by(job) < now.us && !is_begun(job)) {
+        if (start_by(job) < now.us && !Enti_IsBegun(job)) {
             job->retry_after_ms = Enti_RetryAfterMs(
                 entry, job->longest_us + now.us - start_by(job));
             Enti_Answer(entry, job, CODE_TOO_LATE, job->service_name);
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -123,6 +123,19 @@
     sub->stretch_percent = route->stretch_percent;
 }
 
+/* What a job asks for that is not served, "" for nothing. */
+static const char *
+find_unserved(const struct route *route, const struct pf_job *job)
+{
+    if (route->needs_advice) {
+        return "route with advice";
+    }
+    if (job->unserved) {
+        return job->unserved;
+    }
+    return job->is_kept ? "kept job" : "";
+}
+
 static void
 submit(struct ingress *ingress, const struct hs_request *request,
        const struct route *route, uint64_t name)
@@ -139,7 +152,8 @@
         return;
     }
     enum code code = CODE_OK;
-    if (job.is_kept || job.step_count > 1) {
+    const char *detail = find_unserved(route, &job);
+    if (detail[0]) {
         code = CODE_NOT_SERVED;
     }
     else if (ingress->closing_us && now.us >= ingress->closing_us) {
@@ -149,20 +163,21 @@
         code = Ent_IssueKeys(ingress->core, now, 1, &job.sub.key);
     }
     if (code != CODE_OK) {
-        refuse(ingress, request, code, "");
+        refuse(ingress, request, code, detail);
         Pf_FreeJob(&job);
         return;
     }
     fill(&job.sub, route, name, Pf_ReadDeadline(request->extra, route));
     waiting.key = job.sub.key;
     Hs_SetUser(&ingress->callers, request->conn, &waiting, sizeof(waiting));
-    LOG_INFO("callers",
-             "Job came in. job=%016" PRIx64 " route=%s tasks=%u cpu=%u "
-             "estimate_ms=%u deadline_ms=%u wait=%.12s timeout_ms=%u "
-             "routes_version=%" PRIu64,
-             name, route->name, job.sub.task_count, job.sub.need.cpu,
-             job.tasks[0].run_ms, job.sub.deadline_ms, request->extra,
-             route->timeout_ms, ingress->control->routes.version);
+    LOG_INFO(
+        "callers",
+        "Job came in. job=%016" PRIx64 " route=%s steps=%u tasks=%u cpu=%u "
+        "estimate_ms=%u deadline_ms=%u wait=%.12s timeout_ms=%u "
+        "routes_version=%" PRIu64,
+        name, route->name, job.sub.step_count, job.sub.task_count,
+        job.steps[0].need.cpu, job.tasks[0].run_ms, job.sub.deadline_ms,
+        request->extra, route->timeout_ms, ingress->control->routes.version);
     Ent_OnSubmit(ingress->core, now, request->conn, &job.sub);
     Pf_FreeJob(&job);
 }
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -295,17 +295,25 @@
 {
     const struct pf_beat *beat = &orders->beat;
     const struct resources *all = &beat->offer.capacity;
-    return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", beat->id,
+    const struct labels *labels = &beat->offer.labels;
+    json_t *names = json_array();
+    for (uint32_t i = 0; i < labels->count; i++) {
+        json_array_append_new(names, json_string(labels->names[i]));
+    }
+    return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:o}", "id", beat->id,
                      "address", beat->address, "service", beat->offer.service,
                      "born_ms", (json_int_t)beat->born_ms, "cpu",
                      (json_int_t)all->cpu, "memory_mb",
-                     (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu);
+                     (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu,
+                     "labels", names);
 }
 
 void
 Orders_ReadNote(struct orders *orders, const json_t *note)
 {
     struct pf_beat beat = {0};
+    size_t i;
+    const json_t *label;
     const char *id;
     const char *address;
     const char *service;
@@ -325,6 +333,10 @@
     beat.born_ms = (uint64_t)born_ms;
     struct resources all = {(uint32_t)cpu, (uint32_t)memory_mb, (uint32_t)gpu};
     Pf_FillOffer(&beat.offer, service, &all);
+    json_array_foreach(json_object_get(note, "labels"), i, label)
+    {
+        Labels_Add(&beat.offer.labels, json_string_value(label));
+    }
     LOG_INFO("upstream", "Known from the process before. id=%s", beat.id);
     take_beat(orders, &beat);
 }
--- a/daemon/routes.c
+++ b/daemon/routes.c
@@ -26,6 +26,7 @@
     route->stretch_percent = number_of(root, "stretch_percent");
     route->max_attempts = number_of(root, "max_attempts");
     route->priority = number_of(root, "priority");
+    route->needs_advice = json_is_true(json_object_get(root, "needs_advice"));
     return 0;
 }
 
--- a/tests/net.h
+++ b/tests/net.h
@@ -113,6 +113,7 @@
             .running = node->agent.busy + node->agent.calls,
             .leaving = (uint8_t)node->leaving,
             .capacity = node->capacity,
+            .labels = node->labels,
         };
         if (node->capacity.cpu) {
             announce.slots = NET_MAX_RUNNING;
--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -42,6 +42,7 @@
     int fail;                  /**< Tasks end with this code. */
     int leaving;               /**< The upstream takes nothing new. */
     struct resources capacity; /**< Of its upstream; all 0: slots count. */
+    struct labels labels;      /**< The same. */
 };
 
 /** A frame on its way. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -33,9 +33,9 @@
         0);
     assert_false(job.is_kept);
     assert_int_equal(job.sub.task_count, 3);
-    assert_int_equal(job.sub.need.cpu, 500);
-    assert_int_equal(job.sub.need.memory_mb, 256);
-    assert_int_equal(job.sub.need.gpu, 0);
+    assert_int_equal(job.sub.steps[0].need.cpu, 500);
+    assert_int_equal(job.sub.steps[0].need.memory_mb, 256);
+    assert_int_equal(job.sub.steps[0].need.gpu, 0);
     assert_int_equal(job.tasks[2].no, 2);
     assert_int_equal(job.tasks[2].run_ms, 90);
     assert_memory_equal(job.tasks[2].input.data, "cut", 3);
@@ -61,6 +61,16 @@
         {"{\"steps\":[{\"count\":-1}]}", CODE_BAD_FIELD},
         {"{\"steps\":[{\"count\":\"2\"}]}", CODE_BAD_FIELD},
         {"{\"steps\":[{\"count\":1,\"cpu\":1e300}]}", CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":400},{\"count\":421}]}", CODE_TOO_MANY_TASKS},
+        {"{\"steps\":[{\"count\":1,\"after\":[0]}]}", CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":1,\"after\":0}]}", CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[1]}]}",
+         CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[-1]}]}",
+         CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[0.5]}]}",
+         CODE_BAD_FIELD},
+        {"{\"steps\":[{\"count\":1,\"requirements\":7}]}", CODE_BAD_FIELD},
         {"{\"specification\":7,\"steps\":[{\"count\":1}]}", CODE_BAD_FIELD},
     };
     (void)state;
@@ -73,6 +83,69 @@
     }
 }
 
+static void
+steps_are_read(void **state)
+{
+    struct pf_job job;
+    struct err err = {0};
+    (void)state;
+    assert_int_equal(
+        Pf_ReadJob(&job,
+                   text("{\"bestEffort\":true,\"steps\":["
+                        "{\"count\":2,\"cpu\":500,\"requirements\":\"a\"},"
+                        "{\"count\":1,\"gpu\":1,\"affinity\":\"r1-3\"},"
+                        "{\"count\":3,\"after\":[0,1],\"antiAffinity\":2,"
+                        "\"estimatedMs\":70,\"speculative\":true}]}"),
+                   &err),
+        0);
+    assert_null(job.unserved);
+    assert_int_equal(job.sub.step_count, 3);
+    assert_int_equal(job.sub.task_count, 6);
+    assert_string_equal(job.steps[0].label, "a");
+    assert_string_equal(job.steps[1].near, "r1-3");
+    assert_int_equal(job.steps[1].need.gpu, 1);
+    assert_int_equal(job.steps[2].after, 3);
+    assert_int_equal(job.steps[2].most_together, 2);
+    assert_int_equal(job.sub.tasks[5].no, (2 << PF_STEP_SHIFT) + 2);
+    assert_int_equal(job.sub.tasks[5].step, 2);
+    assert_int_equal(job.sub.tasks[5].run_ms, 70);
+    Pf_FreeJob(&job);
+}
+
+/* A job whose terms are not kept must not run: it is refused, by name. */
+static void
+what_is_not_served_is_named(void **state)
+{
+    static const struct {
+        const char *body;
+        const char *field;
+    } cases[] = {
+        {"{\"steps\":[{\"count\":1},{\"count\":2,\"gangScheduled\":true}]}",
+         "gangScheduled"},
+        {"{\"steps\":[{\"count\":1,\"longRunning\":true}]}", "longRunning"},
+        {"{\"longRunning\":true,\"steps\":[{\"count\":1}]}", "longRunning"},
+        {"{\"repetitions\":3,\"steps\":[{\"count\":1}]}", "repetitions"},
+        {"{\"steps\":[{\"count\":1,\"fills\":true}]}", "fills"},
+        {"{\"steps\":[{\"count\":1,\"mayMiss\":2}]}", "mayMiss"},
+        {"{\"repetitions\":0,\"steps\":[{\"count\":1,\"fills\":false}]}",
+         NULL},
+    };
+    (void)state;
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct pf_job job;
+        struct err err = {0};
+        assert_int_equal(Pf_ReadJob(&job, text(cases[i].body), &err), 0);
+        if (cases[i].field) {
+            assert_non_null(job.unserved);
+            assert_string_equal(job.unserved, cases[i].field);
+        }
+        else {
+            assert_null(job.unserved);
+        }
+        Pf_FreeJob(&job);
+    }
+}
+
 static void
 an_input_at_its_limit_is_taken(void **state)
 {
@@ -149,6 +222,7 @@
 #define BEAT                                                                  \
     "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","               \
     "\"zone\":\"z\",\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%s},"  \
+    "\"labels\":[\"a\",7,\"r1-3\"],"                                          \
     "\"clockMs\":482113,\"sequence\":4,\"born\":1776540983535}"
 
 static int
@@ -171,6 +245,9 @@
     assert_string_equal(beat.address, "10.128.0.9:8080");
     assert_int_equal(beat.offer.capacity.cpu, 16000);
     assert_int_equal(beat.offer.leaving, 0);
+    assert_int_equal(beat.offer.labels.count, 2);
+    assert_true(Labels_Has(&beat.offer.labels, "r1-3"));
+    assert_false(Labels_Has(&beat.offer.labels, "r1"));
     assert_true(beat.born_ms == 1776540983535ull);
     assert_int_equal(beat.clock_ms, 482113);
     assert_int_equal(read_beat(&beat, "draining", "16000"), 0);
@@ -407,6 +484,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_job_is_read),
         cmocka_unit_test(a_bad_job_is_refused_and_named),
+        cmocka_unit_test(steps_are_read),
+        cmocka_unit_test(what_is_not_served_is_named),
         cmocka_unit_test(an_input_at_its_limit_is_taken),
         cmocka_unit_test(a_path_names_a_queue_or_a_job),
         cmocka_unit_test(a_caller_says_how_long_it_waits),
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -35,6 +35,7 @@
           uint32_t cpu, uint32_t deadline_ms)
 {
     static struct sub_task list[WIRE_MAX_TASKS];
+    struct sub_step step = {.need = {cpu, 64, 0}};
     struct submission sub = {
         .key = Net_Key(node),
         .service = "finishing",
@@ -44,7 +45,8 @@
         .task_count = tasks,
         .tasks = list,
         .name = name,
-        .need = {cpu, 64, 0},
+        .step_count = 1,
+        .steps = &step,
         .max_attempts = 3,
         .target_ms = 60,
         .stretch_percent = 160,
--- /dev/null
+++ b/tests/test_steps.c
@@ -0,0 +1,277 @@
+/* Jobs of several steps: what waits for what, and which workers a step may
+ * run on. */
+#include "caller.h"
+
+#define RESUBMIT_MS 1300
+#define LEASE_MS 1000
+#define STEP(index, task) ((index) << 16 | (task))
+
+static struct net net;
+static struct net_node *entry;
+static struct net_node *agent;
+static struct net_node *spare;
+
+static int
+set_up(void **state)
+{
+    *state = &net;
+    Net_Init(&net);
+    Timing_Derive(&net.timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
+    net.by_contact = 1;
+    agent = Net_AddAgent(&net, "worker-1");
+    spare = Net_AddAgent(&net, "worker-2");
+    agent->capacity = (struct resources){8000, 1024, 0};
+    spare->capacity = agent->capacity;
+    Labels_Add(&agent->labels, "a");
+    Labels_Add(&agent->labels, "r1");
+    Labels_Add(&spare->labels, "b");
+    Labels_Add(&spare->labels, "r2");
+    agent->run_ms = spare->run_ms = 40;
+    entry = Net_AddEntry(&net, "entry-1");
+    Net_Run(&net, 1500);
+    return 0;
+}
+
+/* Submits a job of `count` steps with `tasks` tasks each. */
+static void
+submit(conn_id conn, const struct sub_step *steps, uint32_t count,
+       uint32_t tasks, uint32_t deadline_ms)
+{
+    static struct sub_task list[WIRE_MAX_TASKS];
+    struct submission sub = {
+        .key = Net_Key(entry),
+        .service = "finishing",
+        .kind = "buff-plan",
+        .deadline_ms = deadline_ms,
+        .flags = SUB_RESTART,
+        .task_count = count * tasks,
+        .tasks = list,
+        .name = 7000 + conn,
+        .step_count = count,
+        .steps = steps,
+        .max_attempts = 3,
+        .target_ms = 60,
+        .stretch_percent = 160,
+    };
+    for (uint32_t i = 0; i < count * tasks; i++) {
+        list[i].no = STEP(i / tasks, i % tasks);
+        list[i].step = i / tasks;
+        list[i].run_ms = 40;
+        list[i].input = (struct bytes){NULL, 0};
+    }
+    Ent_OnSubmit(&entry->entry, net.now, conn, &sub);
+}
+
+/* Starts of a step so far, at a node or, for NULL, at any. */
+static uint32_t
+starts_of(uint32_t step, const struct net_node *node)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < net.start_count; i++) {
+        count += net.starts[i].task >> 16 == step &&
+                 (!node || net.starts[i].node == node);
+    }
+    return count;
+}
+
+static uint32_t
+running_at(const struct net_node *node)
+{
+    uint32_t count = 0;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        count += net.runs[i].node == node;
+    }
+    return count;
+}
+
+static void
+a_step_starts_when_those_before_it_have_ended(void **state)
+{
+    struct sub_step steps[4] = {0};
+    (void)state;
+    for (uint32_t i = 0; i < 4; i++) {
+        steps[i].need = (struct resources){1000, 64, 0};
+    }
+    steps[2].after = 3;
+    steps[3].after = 4;
+    submit(1, steps, 4, 2, 5000);
+    Net_Run(&net, 20);
+    /* The first two wait for nothing. */
+    assert_int_equal(starts_of(0, NULL), 2);
+    assert_int_equal(starts_of(1, NULL), 2);
+    assert_int_equal(starts_of(2, NULL), 0);
+    Net_Run(&net, 40);
+    assert_int_equal(starts_of(2, NULL), 2);
+    assert_int_equal(starts_of(3, NULL), 0);
+    Net_Run(&net, 150);
+    assert_int_equal(starts_of(3, NULL), 2);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    assert_int_equal(Net_Repeats(&net), 0);
+}
+
+static void
+a_failed_task_holds_the_steps_after_it(void **state)
+{
+    struct sub_step steps[2] = {0};
+    (void)state;
+    steps[1].after = 1;
+    agent->fail = spare->fail = CODE_TASK_FAILED;
+    submit(1, steps, 2, 1, 5000);
+    Net_Run(&net, 60);
+    assert_int_equal(starts_of(0, NULL), 2);
+    agent->fail = spare->fail = CODE_OK;
+    Net_Run(&net, 40);
+    assert_int_equal(starts_of(0, NULL), 2);
+    Net_Run(&net, 100);
+    assert_int_equal(starts_of(1, NULL), 1);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+static void
+a_lost_run_of_a_later_step_does_not_repeat_the_earlier(void **state)
+{
+    struct sub_step steps[2] = {0};
+    (void)state;
+    steps[1].after = 1;
+    submit(1, steps, 2, 2, 20000);
+    Net_Run(&net, 50);
+    agent->run_ms = spare->run_ms = -1;
+    Net_Run(&net, 30);
+    assert_int_equal(starts_of(1, NULL), 2);
+    struct net_node *dead = running_at(agent) ? agent : spare;
+    Net_Kill(dead);
+    agent->run_ms = spare->run_ms = 40;
+    Net_Run(&net, 4000);
+    assert_int_equal(starts_of(0, NULL), 2);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+static void
+steps_of_different_needs_stay_within_capacity(void **state)
+{
+    struct sub_step steps[3] = {0};
+    (void)state;
+    steps[0].need = (struct resources){5000, 64, 0};
+    steps[1].need = (struct resources){500, 400, 0};
+    steps[2].need = (struct resources){2500, 64, 0};
+    steps[2].after = 2;
+    for (uint32_t i = 0; i < 20; i++) {
+        submit(10 + i, steps, 3, 3, 20000);
+    }
+    for (int ms = 0; ms < 3000; ms++) {
+        Net_Run(&net, 1);
+        assert_true(agent->agent.used.cpu <= 8000);
+        assert_true(agent->agent.used.memory_mb <= 1024);
+        assert_true(spare->agent.used.cpu <= 8000);
+        assert_true(spare->agent.used.memory_mb <= 1024);
+    }
+    for (uint32_t i = 0; i < 20; i++) {
+        assert_int_not_equal(Net_Answer(&net, 10 + i), CODE_PENDING);
+    }
+    assert_int_equal(agent->agent.used.cpu + spare->agent.used.cpu, 0);
+    assert_int_equal(entry->entry.open_jobs, 0);
+}
+
+static void
+a_step_runs_only_where_its_label_is(void **state)
+{
+    struct sub_step steps[2] = {{.label = "b"}, {.label = "a", .after = 1}};
+    (void)state;
+    submit(1, steps, 2, 6, 5000);
+    Net_Run(&net, 300);
+    assert_int_equal(starts_of(0, spare), 6);
+    assert_int_equal(starts_of(1, agent), 6);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    steps[1].label[0] = 'c';
+    submit(2, steps, 2, 1, 5000);
+    Net_Run(&net, 10);
+    assert_int_equal(Net_Answer(&net, 2), CODE_CANNOT_RUN);
+    assert_int_equal(net.start_count, 12);
+}
+
+/* The entry has not heard yet that another worker stands there. */
+static void
+an_agent_refuses_what_its_worker_is_not_called(void **state)
+{
+    struct sub_step step = {.label = "b"};
+    (void)state;
+    spare->labels.names[0][0] = 'c';
+    Labels_Add(&agent->labels, "b");
+    struct ag_announce offer = spare->agent.upstream;
+    offer.labels = spare->labels;
+    Ag_OnAnnounce(&spare->agent, net.now, &offer);
+    offer.labels = agent->labels;
+    Ag_OnAnnounce(&agent->agent, net.now, &offer);
+    submit(1, &step, 1, 4, 5000);
+    Net_Run(&net, 900);
+    assert_int_equal(starts_of(0, spare), 0);
+    assert_int_equal(starts_of(0, agent), 4);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    /* The news were on their way already. */
+    assert_true(net.counters.value[CTR_start_retried] <= 4);
+}
+
+static void
+no_more_tasks_of_a_step_are_together_than_may_be(void **state)
+{
+    struct sub_step step = {.most_together = 2};
+    (void)state;
+    submit(1, &step, 1, 9, 20000);
+    for (int ms = 0; ms < 400; ms++) {
+        Net_Run(&net, 1);
+        assert_true(running_at(agent) <= 2);
+        assert_true(running_at(spare) <= 2);
+    }
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+static void
+a_step_goes_beside_its_data_while_there_is_room(void **state)
+{
+    struct sub_step step = {.need = {2000, 64, 0}, .near = "r2"};
+    (void)state;
+    submit(1, &step, 1, 4, 20000);
+    Net_Run(&net, 20);
+    assert_int_equal(starts_of(0, spare), 4);
+    submit(2, &step, 1, 2, 20000);
+    Net_Run(&net, 20);
+    assert_int_equal(starts_of(0, agent), 2);
+    Net_Run(&net, 100);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    assert_int_equal(Net_Answer(&net, 2), CODE_OK);
+}
+
+/* The time that is left is that of all the steps to come. */
+static void
+a_chain_that_cannot_end_in_time_is_refused(void **state)
+{
+    struct sub_step steps[3] = {0};
+    (void)state;
+    steps[1].after = 1;
+    steps[2].after = 2;
+    submit(1, steps, 3, 1, 100);
+    Net_Run(&net, 10);
+    assert_int_equal(Net_Answer(&net, 1), CODE_TOO_LATE);
+    assert_int_equal(net.start_count, 0);
+    submit(2, steps, 3, 1, 300);
+    Net_Run(&net, 250);
+    assert_int_equal(Net_Answer(&net, 2), CODE_OK);
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
+    const struct CMUnitTest tests[] = {
+        TEST(a_step_starts_when_those_before_it_have_ended),
+        TEST(a_failed_task_holds_the_steps_after_it),
+        TEST(a_lost_run_of_a_later_step_does_not_repeat_the_earlier),
+        TEST(steps_of_different_needs_stay_within_capacity),
+        TEST(a_step_runs_only_where_its_label_is),
+        TEST(an_agent_refuses_what_its_worker_is_not_called),
+        TEST(no_more_tasks_of_a_step_are_together_than_may_be),
+        TEST(a_step_goes_beside_its_data_while_there_is_room),
+        TEST(a_chain_that_cannot_end_in_time_is_refused),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -9,7 +9,7 @@
 #include "wire/key.h"
 
 /** Version of the messages; a frame of another version is refused. */
-#define WIRE_VERSION 2
+#define WIRE_VERSION 3
 /** Most tasks in a job. */
 #define WIRE_MAX_TASKS 820
 /** Task number that stands for all tasks of a key. */
@@ -20,6 +20,10 @@
 #define WIRE_NAME_SIZE 32
 /** Room for an address, "ip:port". */
 #define WIRE_ADDR_SIZE 48
+/** Most labels of a worker. */
+#define WIRE_MAX_LABELS 8
+/** Most steps of a job. */
+#define WIRE_MAX_STEPS 64
 /** Most issuer numbers in one message. */
 #define WIRE_MAX_ISSUERS 64
 
@@ -36,6 +40,18 @@
     uint32_t gpu;
 };
 
+/** What a worker is called by those who ask for one of a kind or a place. */
+struct labels {
+    uint32_t count;
+    char names[WIRE_MAX_LABELS][WIRE_NAME_SIZE];
+};
+
+/** Add one; NULL, one that is too long and one too many are left out. */
+void Labels_Add(struct labels *labels, const char *label);
+
+/** True when `label` is among them, or "". */
+int Labels_Has(const struct labels *labels, const char *label);
+
 /** Epoch of an issuer's owner, ordered by `n`, then by `owner`. */
 struct epoch {
     uint64_t n;
@@ -86,9 +102,20 @@
 struct sub_task {
     uint32_t no;     /**< The caller's number, unique in the job. */
     uint32_t run_ms; /**< Declared run time, 0 when not declared. */
+    uint32_t step;   /**< Index of its step, which also orders the numbers. */
     struct bytes input;
 };
 
+/** One step of a submission: tasks that start when others have ended. */
+struct sub_step {
+    struct resources need;      /**< Of each task. */
+    char label[WIRE_NAME_SIZE]; /**< That the worker must have, "" for any. */
+    char near[WIRE_NAME_SIZE];  /**< Label of the workers beside the step's
+                                     data, "" for none. */
+    uint32_t most_together; /**< Most tasks on one worker, 0 for any number. */
+    uint64_t after; /**< Bit for each earlier step that has to end first. */
+};
+
 /** A job as a caller submits it. */
 struct submission {
     struct key key;
@@ -103,8 +130,9 @@
     uint32_t task_count;
     const struct sub_task *tasks;
     /* Of jobs with SUB_RESTART only, which are never passed on. */
-    uint64_t name;            /**< The caller's name for the job. */
-    struct resources need;    /**< Of each task. */
+    uint64_t name;       /**< The caller's name for the job. */
+    uint32_t step_count; /**< 0: one step that needs only slots. */
+    const struct sub_step *steps;
     uint32_t max_attempts;    /**< Failed runs of a task that end the job. */
     uint32_t target_ms;       /**< Response time beyond the stretched work. */
     uint32_t stretch_percent; /**< Wanted response over the longest task. */
@@ -179,6 +207,7 @@
     uint64_t registered;        /**< Version of the agent's registration. */
     uint8_t suspect;            /**< The worker is out for its failures. */
     uint8_t leaving;
+    struct labels labels;
 };
 
 /** Entry to entry: the ranges that it owns. */
@@ -207,6 +236,7 @@
     uint32_t expect_ms; /**< Expected run time. */
     uint64_t heard_us;  /**< Time of the agent's latest heartbeat that the
                              sender had heard, on the agent's clock. */
+    char label[WIRE_NAME_SIZE]; /**< That the worker must have, "" for any. */
 };
 
 /** Agent to owner: a task's outcome, or a refusal of a start. As MSG_HELD,
--- /dev/null
+++ b/wire/src/labels.c
@@ -0,0 +1,27 @@
+#include <string.h>
+
+#include "wire/msg.h"
+
+void
+Labels_Add(struct labels *labels, const char *label)
+{
+    size_t size = label ? strlen(label) + 1 : 0;
+    if (size > 1 && size <= WIRE_NAME_SIZE &&
+        labels->count < WIRE_MAX_LABELS) {
+        memcpy(labels->names[labels->count++], label, size);
+    }
+}
+
+int
+Labels_Has(const struct labels *labels, const char *label)
+{
+    if (label[0] == '\0') {
+        return 1;
+    }
+    for (uint32_t i = 0; i < labels->count; i++) {
+        if (strcmp(labels->names[i], label) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -49,6 +49,15 @@
     put_uint(pk, amount->gpu);
 }
 
+static void
+put_labels(msgpack_packer *pk, const struct labels *labels)
+{
+    msgpack_pack_array(pk, labels->count);
+    for (uint32_t i = 0; i < labels->count; i++) {
+        put_str(pk, labels->names[i]);
+    }
+}
+
 static void
 put_beat(msgpack_packer *pk, const struct msg_beat *m)
 {
@@ -63,7 +72,7 @@
 static void
 put_agent(msgpack_packer *pk, const struct msg_agent *m)
 {
-    msgpack_pack_array(pk, 20);
+    msgpack_pack_array(pk, 21);
     put_uint(pk, MSG_AGENT);
     put_str(pk, m->service);
     put_uint(pk, m->slots);
@@ -78,6 +87,7 @@
     put_uint(pk, m->registered);
     put_uint(pk, m->suspect);
     put_uint(pk, m->leaving);
+    put_labels(pk, &m->labels);
 }
 
 static void
@@ -94,7 +104,7 @@
 static void
 put_start(msgpack_packer *pk, const struct msg_start *m)
 {
-    msgpack_pack_array(pk, 21);
+    msgpack_pack_array(pk, 22);
     put_uint(pk, MSG_START);
     put_key(pk, &m->key);
     put_epoch(pk, m->epoch);
@@ -113,6 +123,7 @@
     put_resources(pk, &m->need);
     put_uint(pk, m->expect_ms);
     put_uint(pk, m->heard_us);
+    put_str(pk, m->label);
 }
 
 static void
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -114,6 +114,22 @@
     amount->gpu = take_u32(c);
 }
 
+static void
+take_labels(struct cursor *c, struct labels *labels)
+{
+    struct cursor inner = take_array(c);
+    labels->count = inner.left;
+    if (labels->count > WIRE_MAX_LABELS) {
+        labels->count = 0;
+        c->bad = 1;
+        return;
+    }
+    for (uint32_t i = 0; i < labels->count; i++) {
+        take_str(&inner, labels->names[i], sizeof(labels->names[i]));
+    }
+    c->bad |= inner.bad;
+}
+
 static enum code
 take_code(struct cursor *c)
 {
@@ -149,6 +165,7 @@
     m->registered = take_u64(c);
     m->suspect = (uint8_t)take_max(c, 1);
     m->leaving = (uint8_t)take_max(c, 1);
+    take_labels(c, &m->labels);
 }
 
 static void
@@ -185,6 +202,7 @@
     take_resources(c, &m->need);
     m->expect_ms = take_u32(c);
     m->heard_us = take_u64(c);
+    take_str(c, m->label, sizeof(m->label));
 }
 
 static void
