Finish jobs that were begun late before those that are due

The log of one: late before its first start, begun when there was room, then its later steps waited behind all that is due until the caller left. Ruled out: lost outcomes (each start had its end in the log), steps that were not freed (the last tasks to run were of later steps).

Now: a step that may start takes its job out of the late queue, as work of it is done already. Test: what_is_begun_late_is_finished fails before.

--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -462,5 +462,9 @@
 void
 Enti_Unblock(struct entry *entry, struct ent_job *job, uint32_t count)
 {
+    if (!job->queued) {
+        /* Its work is done already: what is due has no claim before it. */
+        job->is_late = 0;
+    }
     wait_again(entry, job, (int)count, 0);
 }
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -258,6 +258,43 @@
     assert_int_equal(Net_Answer(&net, 2), CODE_OK);
 }
 
+/* Twice what the workers carry, of jobs that are wanted soon. */
+static void
+press(uint32_t ms)
+{
+    static conn_id conn = 1000;
+    struct sub_step step = {.need = {4000, 64, 0}};
+    for (uint32_t i = 0; i < ms; i += 5) {
+        submit(++conn, &step, 1, 1, 5000);
+        Net_Run(&net, 5);
+    }
+}
+
+/* A job that was late before its first start is not left half done. */
+static void
+what_is_begun_late_is_finished(void **state)
+{
+    struct sub_step steps[3] = {0};
+    int is_running = 0;
+    (void)state;
+    for (uint32_t i = 0; i < 3; i++) {
+        steps[i].need = (struct resources){4000, 64, 0};
+        steps[i].after = i ? (uint64_t)1 << (i - 1) : 0;
+    }
+    press(200);
+    submit(1, steps, 3, 1, 5000);
+    press(200);
+    assert_int_equal(Ent_LookNamed(&entry->entry, 7001, &is_running), 1);
+    assert_int_equal(is_running, 0);
+    /* A pause of the load lets it begin. */
+    while (!is_running) {
+        Net_Run(&net, 1);
+        assert_int_equal(Ent_LookNamed(&entry->entry, 7001, &is_running), 1);
+    }
+    press(400);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
 int
 main(void)
 {
@@ -272,6 +309,7 @@
         TEST(no_more_tasks_of_a_step_are_together_than_may_be),
         TEST(a_step_goes_beside_its_data_while_there_is_room),
         TEST(a_chain_that_cannot_end_in_time_is_refused),
+        TEST(what_is_begun_late_is_finished),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
