Begun late jobs are due from their first start; Net_RunningAt once

So the rule holds for any job that was begun late, from its first start.

Test: what_is_partly_begun_late_is_finished fails before.

--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -255,9 +255,17 @@
         Enti_Take(agent, &step->want.need, 1);
         job->share->running++;
     }
-    if (job->waiting == 0) {
+    if (job->waiting == 0 || job->is_late) {
         Enti_Unqueue(job);
     }
+    if (job->is_late) {
+        /* Work of it is done now: what is due has no claim before the rest. */
+        job->is_late = 0;
+        job->tag = Enti_StartBy(job);
+        if (job->waiting > 0) {
+            Enti_Enqueue(entry, job, 1);
+        }
+    }
     task->may_wait = !(job->flags & SUB_REQUEST) &&
                      job->service->waiting >= job->service->room;
     Enti_SendStart(entry, now, job, task);
@@ -462,9 +470,5 @@
 void
 Enti_Unblock(struct entry *entry, struct ent_job *job, uint32_t count)
 {
-    if (!job->queued) {
-        /* Its work is done already: what is due has no claim before it. */
-        job->is_late = 0;
-    }
     wait_again(entry, job, (int)count, 0);
 }
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -49,6 +49,17 @@
     return CODE_PENDING;
 }
 
+/** Tasks that an agent's upstream has running. */
+NET_UNUSED static uint32_t
+Net_RunningAt(const struct net *net, const struct net_node *node)
+{
+    uint32_t count = 0;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        count += net->runs[i].node == node;
+    }
+    return count;
+}
+
 NET_UNUSED static uint32_t
 Net_Starts(const struct net *net, const struct key *key)
 {
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -60,16 +60,6 @@
     return sub.key;
 }
 
-static uint32_t
-running_at(const struct net_node *node)
-{
-    uint32_t count = 0;
-    for (int i = 0; i < NET_MAX_RUNNING; i++) {
-        count += net.runs[i].node == node;
-    }
-    return count;
-}
-
 static void
 capacity_is_never_exceeded(void **state)
 {
@@ -80,9 +70,10 @@
         submit_to(i % 2 ? entry : other, 100 + i, 1000 + i, 3, 3000, 5000);
         for (int ms = 0; ms < 20; ms++) {
             Net_Run(&net, 1);
-            assert_true(running_at(agent) * 3000 <= 8000);
-            assert_true(running_at(spare) * 3000 <= 8000);
-            assert_int_equal(agent->agent.used.cpu, 3000 * running_at(agent));
+            assert_true(Net_RunningAt(&net, agent) * 3000 <= 8000);
+            assert_true(Net_RunningAt(&net, spare) * 3000 <= 8000);
+            assert_int_equal(agent->agent.used.cpu,
+                             3000 * Net_RunningAt(&net, agent));
         }
     }
 }
@@ -96,8 +87,8 @@
     submit_to(entry, 2, NAME + 1, 4, 1000, 5000);
     Net_Run(&net, 50);
     /* Each job is at one agent: the loss of one leaves the other. */
-    assert_int_equal(running_at(agent), 4);
-    assert_int_equal(running_at(spare), 4);
+    assert_int_equal(Net_RunningAt(&net, agent), 4);
+    assert_int_equal(Net_RunningAt(&net, spare), 4);
     Net_Kill(agent);
     spare->run_ms = 10;
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
@@ -118,10 +109,12 @@
     agent->run_ms = spare->run_ms = -1;
     submit_to(entry, 1, NAME, 4, 3000, 10000);
     Net_Run(&net, 50);
-    assert_int_equal(running_at(agent) + running_at(spare), 4);
+    assert_int_equal(Net_RunningAt(&net, agent) + Net_RunningAt(&net, spare),
+                     4);
     Net_Kill(entry);
     Net_Run(&net, RESUBMIT_MS - 100);
-    assert_int_equal(running_at(agent) + running_at(spare), 0);
+    assert_int_equal(Net_RunningAt(&net, agent) + Net_RunningAt(&net, spare),
+                     0);
 }
 
 /* Loses all between the first entry and the agents; `knob` is 1 for one way
@@ -154,10 +147,12 @@
     /* Something of it may have run: it is no refusal. */
     assert_int_not_equal(Code_Run(Net_Answer(&net, 1)), CODE_NOT_RUN);
     Net_Run(&net, RESUBMIT_MS);
-    assert_int_equal(running_at(agent) + running_at(spare), 0);
+    assert_int_equal(Net_RunningAt(&net, agent) + Net_RunningAt(&net, spare),
+                     0);
     submit_to(other, 2, NAME, 1, 3000, 3000);
     Net_Run(&net, 50);
-    assert_int_equal(running_at(agent) + running_at(spare), 1);
+    assert_int_equal(Net_RunningAt(&net, agent) + Net_RunningAt(&net, spare),
+                     1);
 }
 
 static void
@@ -229,7 +224,7 @@
     agent->run_ms = -1;
     Net_Run(&net, 100);
     assert_int_equal(net.start_count, 2);
-    assert_int_equal(running_at(agent), 1);
+    assert_int_equal(Net_RunningAt(&net, agent), 1);
     msg.u.result.key = key;
     msg.u.result.epoch = (struct epoch){1, entry->head.from};
     msg.u.result.attempt = 1;
@@ -251,7 +246,8 @@
     Net_Run(&net, 50);
     Ent_OnCallerGone(&entry->entry, 1, &key);
     Net_Run(&net, 50);
-    assert_int_equal(running_at(agent) + running_at(spare), 0);
+    assert_int_equal(Net_RunningAt(&net, agent) + Net_RunningAt(&net, spare),
+                     0);
     assert_int_equal(entry->entry.open_jobs, 0);
 }
 
@@ -276,7 +272,7 @@
     agent->run_ms = spare->run_ms = -1;
     submit_to(entry, 1, NAME, 1, 3000, 20000);
     Net_Run(&net, 50);
-    struct net_node *first = running_at(agent) ? agent : spare;
+    struct net_node *first = Net_RunningAt(&net, agent) ? agent : spare;
     first->up = 0;
     next = Net_AddAgent(&net, first->head.node);
     next->capacity = agent->capacity;
@@ -295,7 +291,7 @@
     agent->run_ms = spare->run_ms = -1;
     submit_to(entry, 1, NAME, 1, 3000, 900);
     Net_Run(&net, 50);
-    struct net_node *first = running_at(agent) ? agent : spare;
+    struct net_node *first = Net_RunningAt(&net, agent) ? agent : spare;
     first->up = 0;
     Net_AddAgent(&net, first->head.node);
     Net_Run(&net, 5);
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -74,16 +74,6 @@
     return count;
 }
 
-static uint32_t
-running_at(const struct net_node *node)
-{
-    uint32_t count = 0;
-    for (int i = 0; i < NET_MAX_RUNNING; i++) {
-        count += net.runs[i].node == node;
-    }
-    return count;
-}
-
 static void
 a_step_starts_when_those_before_it_have_ended(void **state)
 {
@@ -138,7 +128,7 @@
     agent->run_ms = spare->run_ms = -1;
     Net_Run(&net, 30);
     assert_int_equal(starts_of(1, NULL), 2);
-    struct net_node *dead = running_at(agent) ? agent : spare;
+    struct net_node *dead = Net_RunningAt(&net, agent) ? agent : spare;
     Net_Kill(dead);
     agent->run_ms = spare->run_ms = 40;
     Net_Run(&net, 4000);
@@ -219,8 +209,8 @@
     submit(1, &step, 1, 9, 20000);
     for (int ms = 0; ms < 400; ms++) {
         Net_Run(&net, 1);
-        assert_true(running_at(agent) <= 2);
-        assert_true(running_at(spare) <= 2);
+        assert_true(Net_RunningAt(&net, agent) <= 2);
+        assert_true(Net_RunningAt(&net, spare) <= 2);
     }
     assert_int_equal(Net_Answer(&net, 1), CODE_OK);
 }
@@ -270,12 +260,24 @@
     }
 }
 
+/* A pause of the load lets a late job begin. */
+static void
+run_until_begun(uint64_t name)
+{
+    int is_running = 0;
+    assert_int_equal(Ent_LookNamed(&entry->entry, name, &is_running), 1);
+    assert_int_equal(is_running, 0);
+    while (!is_running) {
+        Net_Run(&net, 1);
+        assert_int_equal(Ent_LookNamed(&entry->entry, name, &is_running), 1);
+    }
+}
+
 /* A job that was late before its first start is not left half done. */
 static void
 what_is_begun_late_is_finished(void **state)
 {
     struct sub_step steps[3] = {0};
-    int is_running = 0;
     (void)state;
     for (uint32_t i = 0; i < 3; i++) {
         steps[i].need = (struct resources){4000, 64, 0};
@@ -284,13 +286,21 @@
     press(200);
     submit(1, steps, 3, 1, 5000);
     press(200);
-    assert_int_equal(Ent_LookNamed(&entry->entry, 7001, &is_running), 1);
-    assert_int_equal(is_running, 0);
-    /* A pause of the load lets it begin. */
-    while (!is_running) {
-        Net_Run(&net, 1);
-        assert_int_equal(Ent_LookNamed(&entry->entry, 7001, &is_running), 1);
-    }
+    run_until_begun(7001);
+    press(400);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
+/* The same of one step, of which not all tasks found room at once. */
+static void
+what_is_partly_begun_late_is_finished(void **state)
+{
+    struct sub_step step = {.need = {4000, 64, 0}};
+    (void)state;
+    press(100);
+    submit(1, &step, 1, 5, 5000);
+    press(100);
+    run_until_begun(7001);
     press(400);
     assert_int_equal(Net_Answer(&net, 1), CODE_OK);
 }
@@ -310,6 +320,7 @@
         TEST(a_step_goes_beside_its_data_while_there_is_room),
         TEST(a_chain_that_cannot_end_in_time_is_refused),
         TEST(what_is_begun_late_is_finished),
+        TEST(what_is_partly_begun_late_is_finished),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
