--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -3,7 +3,10 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 /* Time over which the load of a class is averaged: a burst that waits is
  * counted as waiting already. */
--- a/core/src/entry/ask.c
+++ b/core/src/entry/ask.c
@@ -1,5 +1,13 @@
 /* Questions about a job: its state, its answer, its cancellation. */
-#include "entry_impl.h"
+#include "job.h"
+#include "range.h"
+
+/* A wait for an answer is given up after this. */
+#define WAIT_LIMIT_US (600 * US_PER_S)
+/* A question about a state is given up after this. */
+#define ASK_LIMIT_US (5 * US_PER_S)
+/* A question passed on is sent again after this. */
+#define ASK_RESEND_US (1 * US_PER_S)
 
 static void
 cancel_job(struct entry *entry, struct ent_job *job)
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -4,7 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 /* Most services and issuer numbers known at once. */
 #define MAX_SERVICES 1024
--- a/core/src/entry/fresh.c
+++ b/core/src/entry/fresh.c
@@ -2,7 +2,7 @@
  * and why they hold are in docs/DESIGN.md, section 3. */
 #include <string.h>
 
-#include "entry_impl.h"
+#include "peer.h"
 
 /* Most entries whose vouching is looked at. */
 #define MAX_VOUCHERS 256
--- a/core/src/entry/handover.c
+++ b/core/src/entry/handover.c
@@ -4,8 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "range.h"
 
+/* A handover without an answer is sent again after this. */
+#define HAND_RESEND_US (500 * US_PER_MS)
 /* Answered jobs sent at once. */
 #define HAND_BATCH 256
 
--- a/core/src/entry/issuer.c
+++ b/core/src/entry/issuer.c
@@ -2,7 +2,9 @@
 #include <sodium.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
+#include "range.h"
 
 uint64_t
 Enti_Random(struct entry *entry)
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
 
 static struct ent_key_id
 make_id(const struct key *key)
--- a/core/src/entry/learn.c
+++ b/core/src/entry/learn.c
@@ -2,7 +2,8 @@
  * factor, so it counts only with the factor seen so far. */
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
 
 /* Run time of a kind of which nothing is known. */
 #define GUESS_US (200 * US_PER_MS)
--- a/core/src/entry/note.c
+++ b/core/src/entry/note.c
@@ -1,5 +1,5 @@
 /* Decisions on restartable jobs, for the log. */
-#include "entry_impl.h"
+#include "job.h"
 
 static uint32_t
 free_cpu(const struct ent_peer *agent)
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -2,7 +2,10 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 struct ent_peer *
 Enti_FindPeer(const struct entry *entry, uint64_t incarnation)
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -2,7 +2,10 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 /* The baseline places a refused task again after this. */
 #define BASELINE_RETRY_US (50 * US_PER_MS)
--- a/core/src/entry/policy.c
+++ b/core/src/entry/policy.c
@@ -2,7 +2,7 @@
  * configuration or the members change, and kept. */
 #include <string.h>
 
-#include "entry_impl.h"
+#include "peer.h"
 
 static void
 add_team(const struct entry *entry, const char *team, struct policy *policy)
--- a/core/src/entry/pressure.c
+++ b/core/src/entry/pressure.c
@@ -4,7 +4,9 @@
  * before, and none is answered in time; what is refused at once costs little,
  * and the rest is served. Which jobs are refused is left to chance: each class
  * keeps its part. */
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
+#include "range.h"
 
 /* A round of the loop that takes longer than this uses up what a short job
  * has to spare: targets are some 60 ms. */
--- a/core/src/entry/queue.c
+++ b/core/src/entry/queue.c
@@ -2,7 +2,9 @@
  * each of them start-time fair queueing between the teams. */
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
 
 /* Tags are run times over weights, scaled by this. */
 #define TAG_SCALE 64
--- a/core/src/entry/remote.c
+++ b/core/src/entry/remote.c
@@ -3,7 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "range.h"
+
+/* A submission passed to its owner is sent again after this. */
+#define SUBMIT_RESEND_US (1 * US_PER_S)
 
 static uint64_t
 rendezvous_score(uint64_t issuer, uint64_t entry)
--- a/core/src/entry/report.c
+++ b/core/src/entry/report.c
@@ -2,7 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "range.h"
 
 /* Most records in a report. */
 #define MAX_RECORDS (64u << 20)
--- a/core/src/entry/restart.c
+++ b/core/src/entry/restart.c
@@ -5,7 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
 
 int
 Enti_IsRestartable(const struct ent_job *job)
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -3,7 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
+#include "range.h"
+
+/* A start known as running is asked for again after this. */
+#define RUNNING_RESEND_US (3 * US_PER_S)
 
 static struct ent_task *
 find_task(const struct ent_job *job, uint32_t no)
--- a/core/src/entry/room.c
+++ b/core/src/entry/room.c
@@ -1,7 +1,7 @@
 /* Resources of agents as this entry believes them to be: what it has sent
  * there itself, and what the agent last said of others. The agent has the
  * last word. */
-#include "entry_impl.h"
+#include "place.h"
 
 static int
 is_limited(const struct resources *capacity)
--- a/core/src/entry/start.c
+++ b/core/src/entry/start.c
@@ -1,7 +1,10 @@
 /* The message that starts a task at an agent. */
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 static uint32_t
 remaining_ms(struct now now, const struct ent_job *job)
--- a/core/src/entry/status.c
+++ b/core/src/entry/status.c
@@ -4,7 +4,8 @@
 #include <stdio.h>
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
 
 struct text {
     char *out;
--- a/core/src/entry/step.c
+++ b/core/src/entry/step.c
@@ -2,7 +2,7 @@
  * should take. A job of our own interface has one step. */
 #include <stdlib.h>
 
-#include "entry_impl.h"
+#include "job.h"
 
 static int
 is_after(const struct ent_step *step, uint32_t index)
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -1,5 +1,8 @@
 /* Submissions, first ones and repeated ones. */
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
 
 static int
 is_expired(const struct entry *entry, struct now now, const struct key *key)
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -3,7 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
+#include "range.h"
+
+/* A fence without an answer is sent again after this. */
+#define FENCE_RESEND_US (500 * US_PER_MS)
 
 void
 Enti_DropFences(struct ent_issuer *issuer)
--- a/core/src/entry/urgency.c
+++ b/core/src/entry/urgency.c
@@ -4,7 +4,8 @@
  * make it, so a burst makes some jobs late and not all of them. */
 #include <utlist.h>
 
-#include "entry_impl.h"
+#include "job.h"
+#include "place.h"
 
 /* An answer within this many times the wanted response time is of use. */
 #define USEFUL_FACTOR 3
--- a/core/src/entry/usage.c
+++ b/core/src/entry/usage.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #include "core/config.h"
-#include "entry_impl.h"
+#include "job.h"
+#include "peer.h"
+#include "place.h"
 
 /* A report older than this no longer counts. */
 #define REPORT_US (3 * US_PER_S)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -1,7 +1,9 @@
 /* What an entry takes in, in which order it serves, and what it learns. */
 #include "caller.h"
 
-#include "../core/src/entry/entry_impl.h"
+#include "../core/src/entry/job.h"
+#include "../core/src/entry/peer.h"
+#include "../core/src/entry/place.h"
 
 #define CONN(n) (((conn_id)1 << 63) + (n))
 
