An entry's row is written over only at the same address

Cause: finding 17, known red 1: a restarted entry replaced its row in one write, which the model shows unsafe. Looked at again: the trace needs the replaced entry to live on and vouch. A process that has its predecessor's port proves that it has ended.

Weighed: removal first, and waiting for its acceptance. With two of three entries restarted, and the third cut off, nobody would serve until it is back.

Now: an entry that finds its row at another address waits until it is removed. Left red: entries of new names that register at the same time (steps-overlap).

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -389,6 +389,13 @@
 /** Free what the entry owns. */
 void Ent_Finish(struct entry *entry);
 
+/** Whether a process that listens at `addr` may write its row over that of an
+ * earlier process of its node. An entry's may still run elsewhere and vouch
+ * for others by what it knows; at the same address it has surely ended, as
+ * the port is free (model/FINDINGS.md, 17). */
+int Ent_MayReplace(const struct ent_member *row, enum role role,
+                   const char *addr);
+
 /** A registry row was read. */
 void Ent_OnMember(struct entry *entry, struct now now,
                   const struct ent_member *member);
--- a/model/acceptance.pml
+++ b/model/acceptance.pml
@@ -57,6 +57,7 @@
 /* Entries. */
 byte ver[ENTRIES];
 bool knows[ENTRIES];		/* has read the store since it started */
+bool dead;			/* entry 2 had ended when 3 took its place */
 byte answer = NONE, answer_age;	/* store's, on its way to entry 1 */
 
 /* Entry 1's freshness. */
@@ -315,6 +316,12 @@
 #ifdef MUT_REPLACE_IN_ONE_STEP
 		:: HAS(view[store], 2) && !HAS(view[store], 3) ->
 			commit(content[store], (view[store] & ~4) | 8, 0)
+#endif
+#ifdef REPLACE_DEAD
+		:: HAS(view[store], 2) && !HAS(view[store], 3) ->
+			commit(content[store], (view[store] & ~4) | 8, 0);
+			dead = true;
+			knows[2] = false
 #endif
 		:: HAS(view[store], 2) ->
 			commit(content[store], view[store] & ~4, 0)
@@ -328,7 +335,9 @@
 	/* Entries read the store, and get copies from one another. */
 	:: atomic { select(j : 0 .. ENTRIES - 1);
 		if
-		:: j != 1 -> apply(j, store); knows[j] = true
+		:: j != 1 && !(j == 2 && dead) ->
+			apply(j, store);
+			knows[j] = true
 		:: else
 		fi;
 		j = 0 }
@@ -436,6 +445,9 @@
 	:: atomic { target != NONE && target > accepted && ACCEPTABLE ->
 #ifdef SANE_NO_LAPSE
 		assert(since_majority != F || ALL_ENTRIES);
+#endif
+#ifdef SANE_NO_REPLACED
+		assert(!dead || target < step_at || known[3] < target);
 #endif
 		accepted = target;
 		assert(accepted <= store) }
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -28,6 +28,7 @@
     json_t *note;     /**< Kept in the own row; owned, NULL for none. */
     int is_stale;     /**< The row does not hold the note yet. */
     reg_found *found; /**< NULL for none. */
+    int is_taken;     /**< An entry elsewhere has the node's row. */
     int lost;         /**< The own row was replaced or removed. */
     int verifying;
     int busy;
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -68,14 +68,17 @@
     return NULL;
 }
 
-/* 0 when the row names no process. */
-static uint64_t
-read_incarnation(const json_t *row)
+/* The incarnation is 0 when the row names no process. */
+static struct ent_member
+read_member(const json_t *row)
 {
     struct ent_member member;
     const char *key = json_string_value(json_object_get(row, "key"));
     const json_t *value = json_object_get(row, "value");
-    return Reg_ReadMember(&member, key, value, 1) ? 0 : member.incarnation;
+    if (Reg_ReadMember(&member, key, value, 1)) {
+        member.incarnation = 0;
+    }
+    return member;
 }
 
 static void
@@ -99,19 +102,39 @@
 
 /* The row there is written over by the next commit. */
 static void
-take_found(struct registry *registry, const json_t *row)
+take_found(struct registry *registry, const json_t *row, int is_own)
 {
     const json_t *value = json_object_get(row, "value");
     const json_t *note = json_object_get(value, "note");
     registry->row_version =
         (uint64_t)json_integer_value(json_object_get(row, "version"));
     registry->row_replaced = is_loss(registry, value);
-    if (note && registry->found &&
-        read_incarnation(row) != registry->incarnation) {
+    if (note && registry->found && !is_own) {
         registry->found(registry->context, note);
     }
 }
 
+/* Whether the row has to be removed before the own one can be written. */
+static int
+is_taken(struct registry *registry, const struct ent_member *member)
+{
+    const struct settings *settings = registry->settings;
+    enum role role =
+        strcmp(settings->role, "entry") == 0 ? ROLE_ENTRY : ROLE_AGENT;
+    int was_taken = registry->is_taken;
+    registry->is_taken =
+        !registry->keep && member->incarnation &&
+        !Ent_MayReplace(member, role, settings->public_internal);
+    if (registry->is_taken && !was_taken) {
+        LOG_WARN("registry",
+                 "The row of this node is that of an entry elsewhere, which "
+                 "may still run: waiting until it is removed. node=%s "
+                 "address=%s",
+                 settings->node, member->addr);
+    }
+    return registry->is_taken;
+}
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
@@ -125,12 +148,16 @@
     registry->row_version = 0;
     registry->row_replaced = 0;
     if (row) {
-        take_found(registry, row);
-        if (!registry->is_stale &&
-            read_incarnation(row) == registry->incarnation) {
+        struct ent_member member = read_member(row);
+        int is_own = member.incarnation == registry->incarnation;
+        take_found(registry, row, is_own);
+        if (!registry->is_stale && is_own) {
             found_registered(registry, registry->row_version);
             return;
         }
+        if (!is_own && is_taken(registry, &member)) {
+            return;
+        }
     }
     registry->busy = 2;
     if (registry->keep) {
@@ -221,7 +248,7 @@
 static void
 check_kept(struct registry *registry, const json_t *row)
 {
-    if (row && read_incarnation(row) >= registry->incarnation) {
+    if (row && read_member(row).incarnation >= registry->incarnation) {
         return;
     }
     LOG_WARN("registry", "Own row is gone: writing it again. node=%s",
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -309,11 +309,27 @@
     assert_int_equal(world.counters.value[CTR_takeovers], 1);
 }
 
+/* An entry's row is written over only by a process that proves, by having its
+ * port, that the one before has ended. */
+static void
+only_an_entry_at_the_same_address_replaces_an_entry(void **state)
+{
+    struct ent_member row = {.role = ROLE_ENTRY, .addr = "10.0.0.1:7000"};
+    (void)state;
+    assert_true(Ent_MayReplace(&row, ROLE_ENTRY, "10.0.0.1:7000"));
+    assert_false(Ent_MayReplace(&row, ROLE_ENTRY, "10.0.0.2:7000"));
+    assert_false(Ent_MayReplace(&row, ROLE_ENTRY, "10.0.0.1:7001"));
+    /* Agents vouch for nobody. */
+    row.role = ROLE_AGENT;
+    assert_true(Ent_MayReplace(&row, ROLE_AGENT, "10.0.0.2:7000"));
+}
+
 int
 main(void)
 {
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(only_an_entry_at_the_same_address_replaces_an_entry),
         T(all_are_fresh_with_the_store),
         T(outage_with_an_entry_lost_leaves_all_fresh),
         T(outage_with_two_entries_lost_stops_starts),
