Entries of new names join one at a time

Now: an entry of a new name writes the row entries/step with its own, in one commit, and only if it is not there; any entry removes it when that version is accepted.

--- a/daemon/control.h
+++ b/daemon/control.h
@@ -75,6 +75,9 @@
     uint64_t read_us;     /**< When the last read was answered. */
     uint64_t next_forget_us;
     int forgetting;
+    struct ent_accept step; /**< The latest entry of a new name. */
+    int settling;           /**< Its row is being removed. */
+    uint64_t next_settle_us;
     uint64_t member_heard_us; /**< Start of this process. */
 };
 
@@ -109,6 +112,11 @@
 /** A change in the history, NULL when it is not there. */
 json_t *Rows_FindChange(const struct control *control, const char *id);
 
+/* step.c */
+
+/** Time has passed: an entry of a new name may have been accepted. */
+void Step_OnTick(struct control *control, struct now now);
+
 /* routes.c */
 
 /** Read the routes' row. CODE_BAD_FIELD. */
--- /dev/null
+++ b/daemon/step.c
@@ -0,0 +1,41 @@
+/* Entries of new names join one at a time: the next one may write its row
+ * when the one before is accepted. Which one that is stands in a row of its
+ * own, which any entry removes then. */
+#include "base/log.h"
+#include "control.h"
+
+/* A removal without effect is tried again after this: another entry's may be
+ * on its way. */
+#define RETRY_US (1 * US_PER_S)
+
+static void
+on_removed(void *context, const struct store_result *result)
+{
+    struct control *control = context;
+    control->settling = 0;
+    LOG_INFO("registry", "The set of entries is settled. version=%llu code=%s",
+             (unsigned long long)control->step.rows, Code_Name(result->code));
+}
+
+void
+Step_OnTick(struct control *control, struct now now)
+{
+    uint64_t version = Rows_Version(control, REG_STEP);
+    if (!Rows_Value(control, REG_STEP) || control->settling ||
+        now.us < control->next_settle_us) {
+        return;
+    }
+    if (control->step.rows != version) {
+        control->step = (struct ent_accept){.rows = version};
+    }
+    if (!Ent_CheckAccept(control->core, now, &control->step).accepted) {
+        return;
+    }
+    json_t *change = json_pack("{s:[{s:s,s:I}],s:[{s:s,s:n}]}", "checks",
+                               "key", REG_STEP, "version", (json_int_t)version,
+                               "writes", "key", REG_STEP, "value");
+    control->settling = 1;
+    control->next_settle_us = now.us + RETRY_US;
+    Store_Commit(control->store, change, on_removed, control);
+    json_decref(change);
+}
--- a/model/acceptance.pml
+++ b/model/acceptance.pml
@@ -323,8 +323,15 @@
 			dead = true;
 			knows[2] = false
 #endif
+#ifdef REMOVE_DEAD
+		:: HAS(view[store], 2) ->
+			commit(content[store], view[store] & ~4, 0);
+			dead = true;
+			knows[2] = false
+#else
 		:: HAS(view[store], 2) ->
 			commit(content[store], view[store] & ~4, 0)
+#endif
 		:: !HAS(view[store], 3) ->
 			commit(content[store], view[store] | 8, 0)
 		fi;
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -10,6 +10,9 @@
 /** Prefix of the members' rows. */
 #define REG_PREFIX "member/"
 
+/** Row that stands while an entry of a new name is not accepted yet. */
+#define REG_STEP "entries/step"
+
 /** Called with the note in the row of the process before this one. */
 typedef void reg_found(void *context, const json_t *note);
 
@@ -24,12 +27,15 @@
     uint64_t row_version; /**< Of the row that the own one replaces. */
     uint64_t registered;  /**< Version of the own row, 0 before it. */
     int row_replaced;
-    int keep;         /**< A row that is gone is written again. */
-    json_t *note;     /**< Kept in the own row; owned, NULL for none. */
-    int is_stale;     /**< The row does not hold the note yet. */
-    reg_found *found; /**< NULL for none. */
-    int is_taken;     /**< An entry elsewhere has the node's row. */
-    int lost;         /**< The own row was replaced or removed. */
+    int keep;              /**< A row that is gone is written again. */
+    json_t *note;          /**< Kept in the own row; owned, NULL for none. */
+    int is_stale;          /**< The row does not hold the note yet. */
+    reg_found *found;      /**< NULL for none. */
+    uint64_t step_version; /**< Of REG_STEP, 0 for none. */
+    int is_joining;        /**< As an entry of a new name. */
+    int has_to_wait;       /**< Another one is joining. */
+    int is_taken;          /**< An entry elsewhere has the node's row. */
+    int lost;              /**< The own row was replaced or removed. */
     int verifying;
     int busy;
     reg_done *done;
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -52,22 +52,43 @@
 
 /* NULL when the row is not among `rows`. */
 static const json_t *
-find_own_row(const struct registry *registry, const json_t *rows)
+find_row(const json_t *rows, const char *wanted)
 {
-    char own[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
     size_t i;
     const json_t *row;
-    own_key(registry, own, sizeof(own));
     json_array_foreach(rows, i, row)
     {
         const char *key = json_string_value(json_object_get(row, "key"));
-        if (key && strcmp(key, own) == 0) {
+        if (key && strcmp(key, wanted) == 0) {
             return row;
         }
     }
     return NULL;
 }
 
+static const json_t *
+find_own_row(const struct registry *registry, const json_t *rows)
+{
+    char own[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
+    own_key(registry, own, sizeof(own));
+    return find_row(rows, own);
+}
+
+/* 0 for no row. */
+static uint64_t
+version_of(const json_t *row)
+{
+    return (uint64_t)json_integer_value(json_object_get(row, "version"));
+}
+
+/* A removed row stays, without a value. */
+static int
+is_there(const json_t *row)
+{
+    const json_t *value = json_object_get(row, "value");
+    return value && !json_is_null(value);
+}
+
 /* The incarnation is 0 when the row names no process. */
 static struct ent_member
 read_member(const json_t *row)
@@ -106,8 +127,7 @@
 {
     const json_t *value = json_object_get(row, "value");
     const json_t *note = json_object_get(value, "note");
-    registry->row_version =
-        (uint64_t)json_integer_value(json_object_get(row, "version"));
+    registry->row_version = version_of(row);
     registry->row_replaced = is_loss(registry, value);
     if (note && registry->found && !is_own) {
         registry->found(registry->context, note);
@@ -135,6 +155,25 @@
     return registry->is_taken;
 }
 
+/* Whether another entry of a new name is not accepted yet. Entries join one at
+ * a time; on the platform they need not, as no change waits there for the
+ * acceptance of entries. */
+static int
+has_to_wait(struct registry *registry, const json_t *step)
+{
+    int had_to = registry->has_to_wait;
+    registry->step_version = version_of(step);
+    registry->has_to_wait = registry->is_joining && is_there(step);
+    if (registry->has_to_wait && !had_to) {
+        LOG_INFO("registry",
+                 "Another entry is joining: waiting until it is accepted. "
+                 "node=%s version=%llu",
+                 registry->settings->node,
+                 (unsigned long long)registry->step_version);
+    }
+    return registry->has_to_wait;
+}
+
 static void
 on_rows(void *context, const struct store_result *result)
 {
@@ -143,10 +182,12 @@
     if (result->code != CODE_OK) {
         return;
     }
-    const json_t *row =
-        find_own_row(registry, json_object_get(result->body, "rows"));
+    const json_t *rows = json_object_get(result->body, "rows");
+    const json_t *row = find_own_row(registry, rows);
     registry->row_version = 0;
     registry->row_replaced = 0;
+    registry->is_joining = !registry->keep && !is_there(row) &&
+                           strcmp(registry->settings->role, "entry") == 0;
     if (row) {
         struct ent_member member = read_member(row);
         int is_own = member.incarnation == registry->incarnation;
@@ -159,6 +200,9 @@
             return;
         }
     }
+    if (has_to_wait(registry, find_row(rows, REG_STEP))) {
+        return;
+    }
     registry->busy = 2;
     if (registry->keep) {
         commit_row(registry);
@@ -201,6 +245,15 @@
         json_object_set(json_object_get(write, "value"), "note",
                         registry->note);
     }
+    if (registry->is_joining) {
+        json_array_append_new(json_object_get(change, "checks"),
+                              json_pack("{s:s,s:I}", "key", REG_STEP,
+                                        "version",
+                                        (json_int_t)registry->step_version));
+        json_array_append_new(json_object_get(change, "writes"),
+                              json_pack("{s:s,s:{s:s}}", "key", REG_STEP,
+                                        "value", "node", settings->node));
+    }
     registry->busy = 1;
     Store_Commit(registry->store, change, on_commit, registry);
     json_decref(change);
