Steps that should be on one rack stay there while there is room

Such a step ran wherever there was room, and its tasks take half as long again on more racks than one. The rack is known by the labels of the agent that has tasks of the job. Test: a_step_that_should_be_on_one_rack_stays_there, which fails without it.

--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -164,14 +164,22 @@
 
 enum { BESIDE, NEAR, FAR, TIGHT, SLOW, SPARE, CHOICES };
 
+/* On the rack of the step's data or, where its tasks should be on one rack, on
+ * that of the agent that has some. Workers of one rack and kind have the same
+ * labels. */
 static int
-is_beside(const struct ent_peer *agent, const struct ent_step *step)
+is_beside(const struct ent_peer *agent, const struct ent_step *step,
+          const struct ent_peer *first)
 {
-    return step->want.near[0] && Labels_Has(&agent->labels, step->want.near);
+    if (step->want.near[0]) {
+        return Labels_Has(&agent->labels, step->want.near);
+    }
+    return step->want.one_rack && first &&
+           Labels_HaveAll(&agent->labels, &first->labels);
 }
 
-/* Beside the data of the step, then in this data centre, then in others; slow
- * agents last. */
+/* On the rack that the step should be on, then in this data centre, then in
+ * others; slow agents last. */
 static struct ent_peer *
 pick_agent(struct entry *entry, struct now now, const struct ent_job *job,
            const struct ent_step *step)
@@ -181,6 +189,7 @@
     if (agent) {
         return agent;
     }
+    const struct ent_peer *first = Enti_FindPeer(entry, job->home);
     DL_FOREACH(job->service->agents, agent)
     {
         uint32_t room = room_for(now, agent, job, step);
@@ -198,7 +207,7 @@
         }
         int near = strcmp(agent->member.dc, entry->settings.dc) == 0;
         int index = near ? NEAR : room > LAST_PLACE ? FAR : TIGHT;
-        if (is_beside(agent, step)) {
+        if (is_beside(agent, step, first)) {
             index = BESIDE;
         }
         if (is_slow(entry, now, agent)) {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -93,7 +93,8 @@
         Pf_ReadJob(&job,
                    text("{\"bestEffort\":true,\"steps\":["
                         "{\"count\":2,\"cpu\":500,\"requirements\":\"a\"},"
-                        "{\"count\":1,\"gpu\":1,\"affinity\":\"r1-3\"},"
+                        "{\"count\":1,\"gpu\":1,\"affinity\":\"r1-3\","
+                        "\"rackSensitive\":true},"
                         "{\"count\":3,\"after\":[0,1],\"antiAffinity\":2,"
                         "\"estimatedMs\":70,\"speculative\":true}]}"),
                    &err),
@@ -104,6 +105,8 @@
     assert_string_equal(job.steps[0].label, "a");
     assert_string_equal(job.steps[1].near, "r1-3");
     assert_int_equal(job.steps[1].need.gpu, 1);
+    assert_int_equal(job.steps[0].one_rack, 0);
+    assert_int_equal(job.steps[1].one_rack, 1);
     assert_int_equal(job.steps[2].after, 3);
     assert_int_equal(job.steps[2].most_together, 2);
     assert_int_equal(job.sub.tasks[5].no, (2 << PF_STEP_SHIFT) + 2);
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -231,6 +231,27 @@
     assert_int_equal(Net_Answer(&net, 2), CODE_OK);
 }
 
+/* A third worker stands beside the first. Three tasks fit on them; on the
+ * second alone two do. */
+static void
+a_step_that_should_be_on_one_rack_stays_there(void **state)
+{
+    struct sub_step step = {.need = {4000, 64, 0}, .one_rack = 1};
+    (void)state;
+    struct net_node *third = Net_AddAgent(&net, "worker-3");
+    third->capacity = agent->capacity;
+    third->labels = agent->labels;
+    third->run_ms = 40;
+    Net_Run(&net, 1500);
+    for (conn_id conn = 1; conn <= 20; conn++) {
+        net.start_count = 0;
+        submit(conn, &step, 1, 3, 20000);
+        Net_Run(&net, 200);
+        assert_int_not_equal(starts_of(0, spare), 1);
+        assert_int_equal(Net_Answer(&net, conn), CODE_OK);
+    }
+}
+
 /* The time that is left is that of all the steps to come. */
 static void
 a_chain_that_cannot_end_in_time_is_refused(void **state)
@@ -318,6 +339,7 @@
         TEST(an_agent_refuses_what_its_worker_is_not_called),
         TEST(no_more_tasks_of_a_step_are_together_than_may_be),
         TEST(a_step_goes_beside_its_data_while_there_is_room),
+        TEST(a_step_that_should_be_on_one_rack_stays_there),
         TEST(a_chain_that_cannot_end_in_time_is_refused),
         TEST(what_is_begun_late_is_finished),
         TEST(what_is_partly_begun_late_is_finished),
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -46,6 +46,9 @@
     char names[WIRE_MAX_LABELS][WIRE_NAME_SIZE];
 };
 
+/** True when all of `some` are among them. */
+int Labels_HaveAll(const struct labels *labels, const struct labels *some);
+
 /** Add one; NULL, one that is too long and one too many are left out. */
 void Labels_Add(struct labels *labels, const char *label);
 
@@ -113,7 +116,8 @@
     char near[WIRE_NAME_SIZE];  /**< Label of the workers beside the step's
                                      data, "" for none. */
     uint32_t most_together; /**< Most tasks on one worker, 0 for any number. */
-    uint64_t after; /**< Bit for each earlier step that has to end first. */
+    uint8_t one_rack; /**< Its tasks are slower on more racks than one. */
+    uint64_t after;   /**< Bit for each earlier step that has to end first. */
 };
 
 /** A job as a caller submits it. */
--- a/wire/src/labels.c
+++ b/wire/src/labels.c
@@ -25,3 +25,14 @@
     }
     return 0;
 }
+
+int
+Labels_HaveAll(const struct labels *labels, const struct labels *some)
+{
+    for (uint32_t i = 0; i < some->count; i++) {
+        if (!Labels_Has(labels, some->names[i])) {
+            return 0;
+        }
+    }
+    return 1;
+}
