--- a/core/src/entry/place.h
+++ b/core/src/entry/place.h
@@ -105,16 +105,32 @@
 void Enti_NoteUsed(struct ent_peer *agent, const struct resources *used,
                    const struct resources *mine);
 
+/* pick.c */
+
+/** True when tasks may be sent to an agent. */
+int Enti_IsUsable(const struct entry *entry, struct now now,
+                  const struct ent_peer *agent);
+
+/** True when tasks take much longer on an agent than elsewhere. */
+int Enti_IsSlow(const struct entry *entry, struct now now,
+                const struct ent_peer *agent);
+
+/** Starts that an agent may be sent, by its slots. */
+uint32_t Enti_CountRoom(const struct entry *entry, struct now now,
+                        const struct ent_service *service,
+                        const struct ent_peer *agent);
+
+/** The agent that a task of a step should go to, NULL for none. */
+struct ent_peer *Enti_PickAgent(struct entry *entry, struct now now,
+                                const struct ent_job *job,
+                                const struct ent_step *step);
+
 /* place.c */
 
 /** Send waiting tasks of a service to agents with free slots. */
 void Enti_Place(struct entry *entry, struct now now,
                 struct ent_service *service);
 
-/** True when tasks may be sent to an agent. */
-int Enti_IsUsable(const struct entry *entry, struct now now,
-                  const struct ent_peer *agent);
-
 /** Tasks of a job that waited for a step may start. */
 void Enti_Unblock(struct entry *entry, struct ent_job *job, uint32_t count);
 
