--- a/tests/caller.h
+++ b/tests/caller.h
@@ -5,6 +5,11 @@
 
 #include "net.h"
 
+/** Callers submit again after this. */
+#define RESUBMIT_MS 1300
+/** Longest lease at an upstream. */
+#define LEASE_MS 1000
+
 NET_UNUSED static struct key
 Net_Key(struct net_node *entry)
 {
@@ -37,6 +42,15 @@
     Ent_OnSubmit(&entry->entry, entry->net->now, conn, &sub);
 }
 
+/** Make a net of nodes that meet by contact, where tasks may run again. */
+NET_UNUSED static void
+Net_InitByContact(struct net *net)
+{
+    Net_Init(net);
+    Timing_Derive(&net->timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
+    net->by_contact = 1;
+}
+
 /** Latest answer on a connection, CODE_PENDING when there is none. */
 NET_UNUSED static enum code
 Net_Answer(const struct net *net, conn_id conn)
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -2,8 +2,6 @@
  * Entries and agents die, sleep and are cut off; callers submit again. */
 #include "caller.h"
 
-#define RESUBMIT_MS 1300
-#define LEASE_MS 1000
 #define NAME 0x5c0e7a21d94b36f8ull
 
 static struct net net;
@@ -16,9 +14,7 @@
 set_up(void **state)
 {
     *state = &net;
-    Net_Init(&net);
-    Timing_Derive(&net.timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
-    net.by_contact = 1;
+    Net_InitByContact(&net);
     agent = Net_AddAgent(&net, "worker-1");
     spare = Net_AddAgent(&net, "worker-2");
     agent->capacity = (struct resources){8000, 1024, 0};
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -2,8 +2,6 @@
  * run on. */
 #include "caller.h"
 
-#define RESUBMIT_MS 1300
-#define LEASE_MS 1000
 #define STEP(index, task) ((index) << 16 | (task))
 
 static struct net net;
@@ -15,9 +13,7 @@
 set_up(void **state)
 {
     *state = &net;
-    Net_Init(&net);
-    Timing_Derive(&net.timing, RESUBMIT_MS * US_PER_MS, LEASE_MS * US_PER_MS);
-    net.by_contact = 1;
+    Net_InitByContact(&net);
     agent = Net_AddAgent(&net, "worker-1");
     spare = Net_AddAgent(&net, "worker-2");
     agent->capacity = (struct resources){8000, 1024, 0};
