--- a/core/src/entry/pick.c
+++ b/core/src/entry/pick.c
@@ -170,8 +170,7 @@
     if (step->want.near[0]) {
         return Labels_Has(&agent->labels, step->want.near);
     }
-    return step->want.one_rack && first &&
-           Labels_HaveAll(&agent->labels, &first->labels);
+    return first && Labels_HaveAll(&agent->labels, &first->labels);
 }
 
 /* On the rack that the step should be on, then in this data centre, then in
@@ -185,7 +184,8 @@
     if (agent) {
         return agent;
     }
-    const struct ent_peer *first = Enti_FindPeer(entry, job->home);
+    const struct ent_peer *first =
+        step->want.one_rack ? Enti_FindPeer(entry, job->home) : NULL;
     DL_FOREACH(job->service->agents, agent)
     {
         uint32_t room = room_for(now, agent, job, step);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -109,6 +109,10 @@
 /** Value of a row, NULL when there is none. */
 json_t *Rows_Value(const struct control *control, const char *key);
 
+/** Remove a row, unless it is newer than known here. */
+void Rows_Remove(struct control *control, const char *key, store_done *done,
+                 void *context);
+
 /** A change in the history, NULL when it is not there. */
 json_t *Rows_FindChange(const struct control *control, const char *id);
 
--- a/daemon/forget.c
+++ b/daemon/forget.c
@@ -22,11 +22,7 @@
 {
     char key[WIRE_NAME_SIZE + sizeof(REG_PREFIX)];
     snprintf(key, sizeof(key), REG_PREFIX "%s", node);
-    json_t *change = json_pack(
-        "{s:[{s:s,s:I}],s:[{s:s,s:n}]}", "checks", "key", key, "version",
-        (json_int_t)Rows_Version(control, key), "writes", "key", key, "value");
-    Store_Commit(control->store, change, done, context);
-    json_decref(change);
+    Rows_Remove(control, key, done, context);
 }
 
 /* A member is counted as silent only while this entry itself has reached the
--- a/daemon/rows.c
+++ b/daemon/rows.c
@@ -30,6 +30,17 @@
     return json_is_null(value) ? NULL : value;
 }
 
+void
+Rows_Remove(struct control *control, const char *key, store_done *done,
+            void *context)
+{
+    json_t *change = json_pack(
+        "{s:[{s:s,s:I}],s:[{s:s,s:n}]}", "checks", "key", key, "version",
+        (json_int_t)Rows_Version(control, key), "writes", "key", key, "value");
+    Store_Commit(control->store, change, done, context);
+    json_decref(change);
+}
+
 json_t *
 Rows_FindChange(const struct control *control, const char *id)
 {
--- a/daemon/step.c
+++ b/daemon/step.c
@@ -31,11 +31,7 @@
     if (!Ent_CheckAccept(control->core, now, &control->step).accepted) {
         return;
     }
-    json_t *change = json_pack("{s:[{s:s,s:I}],s:[{s:s,s:n}]}", "checks",
-                               "key", REG_STEP, "version", (json_int_t)version,
-                               "writes", "key", REG_STEP, "value");
     control->settling = 1;
     control->next_settle_us = now.us + RETRY_US;
-    Store_Commit(control->store, change, on_removed, control);
-    json_decref(change);
+    Rows_Remove(control, REG_STEP, on_removed, control);
 }
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -51,6 +51,15 @@
     net->by_contact = 1;
 }
 
+/** Add an agent whose worker has 8 cores and 1,024 MB. */
+NET_UNUSED static struct net_node *
+Net_AddWorker(struct net *net, const char *name)
+{
+    struct net_node *node = Net_AddAgent(net, name);
+    node->capacity = (struct resources){8000, 1024, 0};
+    return node;
+}
+
 /** Latest answer on a connection, CODE_PENDING when there is none. */
 NET_UNUSED static enum code
 Net_Answer(const struct net *net, conn_id conn)
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -15,10 +15,8 @@
 {
     *state = &net;
     Net_InitByContact(&net);
-    agent = Net_AddAgent(&net, "worker-1");
-    spare = Net_AddAgent(&net, "worker-2");
-    agent->capacity = (struct resources){8000, 1024, 0};
-    spare->capacity = agent->capacity;
+    agent = Net_AddWorker(&net, "worker-1");
+    spare = Net_AddWorker(&net, "worker-2");
     entry = Net_AddEntry(&net, "entry-1");
     other = Net_AddEntry(&net, "entry-2");
     Net_Run(&net, 1500);
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -14,10 +14,8 @@
 {
     *state = &net;
     Net_InitByContact(&net);
-    agent = Net_AddAgent(&net, "worker-1");
-    spare = Net_AddAgent(&net, "worker-2");
-    agent->capacity = (struct resources){8000, 1024, 0};
-    spare->capacity = agent->capacity;
+    agent = Net_AddWorker(&net, "worker-1");
+    spare = Net_AddWorker(&net, "worker-2");
     Labels_Add(&agent->labels, "a");
     Labels_Add(&agent->labels, "r1");
     Labels_Add(&spare->labels, "b");
@@ -234,8 +232,7 @@
 {
     struct sub_step step = {.need = {4000, 64, 0}, .one_rack = 1};
     (void)state;
-    struct net_node *third = Net_AddAgent(&net, "worker-3");
-    third->capacity = agent->capacity;
+    struct net_node *third = Net_AddWorker(&net, "worker-3");
     third->labels = agent->labels;
     third->run_ms = 40;
     Net_Run(&net, 1500);
