A refusal of a start ordered again proves nothing of the order before

Cause: the first order was carried out and got no answer; after 30 ms it was ordered again, and that order was refused (503), having done nothing. The runner took it for the whole: the run was over, and the entry placed the task elsewhere. The same for NO_ROOM, NOT_UNDERSTOOD, UNREACHED, and refusals that ended five tries.

Now: after an unanswered order a run is over only when a stop is acknowledged and its end known, as after five unanswered ones; one way for all (give_up).

--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -200,7 +200,22 @@
     Rni_OrderStop(runner, now, run);
 }
 
-/* The start is known not to have been carried out. */
+/* The run is over here. A refusal tells of one order only: an earlier one
+ * without an answer may have been carried out, or be later, until a stop makes
+ * it void. */
+static void
+give_up(struct runner *runner, struct now now, struct rn_run *run,
+        enum code code)
+{
+    if (!run->was_unanswered) {
+        Rni_End(runner, now, run, code);
+        return;
+    }
+    run->state = RN_STARTING;
+    Rni_BeginStop(runner, now, run, code);
+}
+
+/* The order was not carried out. */
 static void
 on_not_started(struct runner *runner, struct now now, struct rn_run *run,
                enum rn_reply reply)
@@ -236,13 +251,13 @@
         break;
     case RN_NO_ROOM:
         runner->want_peek = 1;
-        Rni_End(runner, now, run, wanted ? CODE_NO_ROOM : run->code);
+        give_up(runner, now, run, wanted ? CODE_NO_ROOM : run->code);
         return;
     case RN_NOT_NOW:
-        Rni_End(runner, now, run, wanted ? CODE_UNHEALTHY : run->code);
+        give_up(runner, now, run, wanted ? CODE_UNHEALTHY : run->code);
         return;
     case RN_NOT_UNDERSTOOD:
-        Rni_End(runner, now, run, CODE_TASK_FAILED);
+        give_up(runner, now, run, CODE_TASK_FAILED);
         return;
     case RN_UNREACHED:
         if (++runner->unreached >= MAX_UNREACHED) {
@@ -250,13 +265,15 @@
         }
         break;
     case RN_OTHER_LIFE:
+        /* What ran in the life before has ended with it. */
+        run->was_unanswered = 0;
         Rni_Lose(runner);
         break;
     case RN_DONE:
     case RN_NO_ANSWER:
         break;
     }
-    Rni_End(runner, now, run, wanted ? CODE_NO_UPSTREAM : run->code);
+    give_up(runner, now, run, wanted ? CODE_NO_UPSTREAM : run->code);
 }
 
 /* The run whose order got a reply; NULL when it is over. */
@@ -294,18 +311,13 @@
     else if (reply != RN_NO_ANSWER) {
         on_not_started(runner, now, run, reply);
     }
-    else if (run->state == RN_STARTING && run->tries < MAX_TRIES) {
-        CTR_INC(runner->counters, starts_unanswered);
-        run->was_unanswered = 1;
-        Rni_OrderStart(runner, now, run);
-    }
     else {
-        /* It may be carried out later: a stop makes it void. */
+        int wanted = run->state == RN_STARTING;
         CTR_INC(runner->counters, starts_unanswered);
-        enum code code =
-            run->state == RN_STARTING ? CODE_NO_UPSTREAM : run->code;
-        run->state = RN_STARTING;
-        Rni_BeginStop(runner, now, run, code);
+        run->was_unanswered = 1;
+        if (!wanted || order_again(runner, now, run)) {
+            give_up(runner, now, run, wanted ? CODE_NO_UPSTREAM : run->code);
+        }
     }
 }
 
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -49,9 +49,10 @@
 static uint32_t run_ms;
 static int stand_still;
 static int is_silent;
-static int lose_starts;  /* Starts to lose, and carry out... */
-static uint64_t late_ms; /* ...this much later. */
-static int refuse_old;   /* Starts below this number are refused. */
+static int lose_starts;           /* Starts to lose, and carry out... */
+static uint64_t late_ms;          /* ...this much later. */
+static int refuse_old;            /* Starts below this number are refused. */
+static enum rn_reply refuse_with; /* Starts are, RN_DONE for not. */
 static struct row rows[MAX_ROWS];
 static struct rn_ended ended[MAX_ROWS];
 static uint32_t ended_count;
@@ -62,6 +63,7 @@
 static int ready;
 static uint64_t ready_ms;
 static uint32_t most_twins;
+static uint32_t early_ends; /* Runs said to be over that went on. */
 
 static struct now
 now(void)
@@ -93,6 +95,17 @@
     return NULL;
 }
 
+static struct row *
+find_row(const struct rn_id *id)
+{
+    for (int i = 0; i < MAX_ROWS; i++) {
+        if (rows[i].used && memcmp(&rows[i].id, id, sizeof(*id)) == 0) {
+            return &rows[i];
+        }
+    }
+    return NULL;
+}
+
 static void
 emit(void *context, const struct rn_act *act)
 {
@@ -114,6 +127,7 @@
         break;
     case RN_END:
         ends++;
+        early_ends += find_row(&act->id) != NULL;
         last_code = act->code;
         break;
     case RN_READY:
@@ -136,17 +150,6 @@
     voided[voided_count++ % MAX_ROWS] = *id;
 }
 
-static struct row *
-find_row(const struct rn_id *id)
-{
-    for (int i = 0; i < MAX_ROWS; i++) {
-        if (rows[i].used && memcmp(&rows[i].id, id, sizeof(*id)) == 0) {
-            return &rows[i];
-        }
-    }
-    return NULL;
-}
-
 static struct row *
 add_row(const struct rn_id *id)
 {
@@ -199,6 +202,9 @@
     struct row *row = find_row(&act->id);
     switch (act->type) {
     case RN_START:
+        if (refuse_with != RN_DONE) {
+            return refuse_with;
+        }
         if (is_void(&act->id) || act->id.number < (uint32_t)refuse_old) {
             return RN_OLD_NUMBER;
         }
@@ -358,7 +364,8 @@
     fence = until_ms = next_n = 0;
     run_ms = 60;
     stand_still = is_silent = lose_starts = refuse_old = ready = 0;
-    ended_count = starts = ends = most_twins = voided_count = 0;
+    refuse_with = RN_DONE;
+    ended_count = starts = ends = most_twins = early_ends = voided_count = 0;
     return Rn_Init(&runner, LEASE_MS * US_PER_MS, STOP_MS * US_PER_MS, sink,
                    &counters);
 }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -104,6 +104,42 @@
     assert_int_equal(most_twins, 1);
 }
 
+/* What a second order is told says nothing of the first, which was carried
+ * out, or is later. */
+static void
+a_refusal_after_an_unanswered_start_proves_nothing(void **state)
+{
+    static const enum rn_reply refusals[] = {RN_NOT_NOW,        RN_NO_ROOM,
+                                             RN_NOT_UNDERSTOOD, RN_UNREACHED,
+                                             RN_LATE,           RN_FENCED};
+    static const uint64_t carried_out_ms[] = {1, 700};
+    (void)state;
+    run_ms = 5000;
+    meet();
+    for (uint32_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
+        for (uint32_t j = 0; j < 2; j++) {
+            uint32_t had = ends;
+            uint64_t job = 1 + 2 * i + j;
+            lose_starts = 1;
+            late_ms = carried_out_ms[j];
+            start(job, 1, 0);
+            run_for(50);
+            refuse_with = refusals[i];
+            run_for(500);
+            refuse_with = RN_DONE;
+            assert_int_equal(early_ends, 0);
+            /* The next attempt runs; the late order must not run beside it. */
+            if (ends > had) {
+                start(job, 2, 0);
+            }
+            run_for(6000);
+            assert_int_equal(early_ends, 0);
+            assert_int_equal(most_twins, 1);
+            assert_true(ends > had);
+        }
+    }
+}
+
 static void
 a_new_life_ends_all_runs_at_once(void **state)
 {
@@ -235,6 +271,7 @@
         TEST(an_unanswered_start_is_ordered_again_and_runs_once),
         TEST(an_unanswered_start_is_made_void_before_its_end),
         TEST(an_unanswered_start_that_ran_is_found_in_the_lists),
+        TEST(a_refusal_after_an_unanswered_start_proves_nothing),
         TEST(a_new_life_ends_all_runs_at_once),
         TEST(a_late_word_of_an_earlier_life_changes_nothing),
         TEST(a_lost_question_may_renew_the_leases),
