Entries exchange heartbeats with a subset of the agents

Cause: each entry exchanged heartbeats with each agent, 13,200 pairs on the large site.

Change: each agent has home entries, chosen by rendezvous hashing, half of them in its data centre, so that an entry has 24 agents on average. An entry whose subset has no free slots links further agents and unlinks them when they are unused for 5 s. Entries know the other agents' services and capacities from their registry rows. With more than 16 entries, entries exchange heartbeats in every second or third round, and only three of them relay rows to an entry that lags, the others after a delay.

Ruled out: digests between entries, as the load of an agent is older by one hop and a digest of 240 agents goes to 54 entries; heartbeats on the tasks' messages alone, as every pair is in use on this site.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -42,6 +42,8 @@
     X(bytes_sent, "bytes sent to other processes")                            \
     X(bytes_received, "bytes received from other processes")                  \
     X(links_replaced, "connections replaced after a silence")                 \
+    X(agents_linked, "connections opened to agents of a subset")              \
+    X(subset_extended, "agents linked because a subset had no free slots")    \
     X(peers_lost, "peer processes lost after a silence")                      \
     X(store_reads, "reads from the table service")                            \
     X(store_writes, "writes to the table service")                            \
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -39,6 +39,7 @@
 struct ent_settings {
     enum ent_mode mode;
     uint64_t incarnation;
+    char node[WIRE_NAME_SIZE];
     char dc[WIRE_NAME_SIZE];
     uint32_t job_capacity;   /**< Maximum number of jobs kept, including
                                   answered ones. */
@@ -54,6 +55,19 @@
     struct timing timing; /**< All 0 selects the values of Timing_Init(). */
     uint64_t tick_us; /**< Expected interval between calls of Ent_OnTick(), for
                            overload detection; 0 disables it. */
+    uint32_t subset_size; /**< Mean number of agents with which an entry
+                               exchanges heartbeats while it is idle; 0 for all
+                               agents. */
+};
+
+/** State of the choice of agents with which heartbeats are exchanged. */
+struct ent_subset {
+    uint64_t signature;   /**< Of the entries that the homes were chosen
+                               from. */
+    uint8_t is_stale;     /**< Agents were added or removed since. */
+    uint32_t link_budget; /**< Connections that may be opened before the next
+                               scan. */
+    uint64_t next_extend_us; /**< When the subset may next be extended. */
 };
 
 /** Overload detection: lateness of the ticks, and the resulting share of new
@@ -76,6 +90,11 @@
     char rack[WIRE_NAME_SIZE];
     uint64_t registered; /**< Registry version at which the row was written. */
     uint8_t replaced;    /**< The row replaced that of another incarnation. */
+    char service[WIRE_NAME_SIZE]; /**< Agents: of the upstream, as saved in the
+                                       row; "" if unknown, as with the
+                                       following. */
+    struct resources capacity;    /**< Of the upstream. */
+    struct labels labels;         /**< Of the upstream. */
 };
 
 /** Agents and queued jobs of one service. */
@@ -95,10 +114,22 @@
     UT_hash_handle hh;
 };
 
+/** State of the connection to another process. */
+enum ent_link {
+    ENT_UNLINKED, /**< None: no heartbeats are exchanged, no work is sent. */
+    ENT_LINKED,
+    ENT_CLOSING, /**< The last heartbeat has been sent. */
+};
+
 /** Another process: an entry or an agent. */
 struct ent_peer {
     struct tab_row row;
     struct ent_member member;
+    enum ent_link link;
+    uint64_t node_hash; /**< Of the node's name. */
+    uint8_t in_subset;  /**< This entry is a home entry of the agent. */
+    uint64_t used_us;   /**< When a task was last sent to the agent, or the
+                             connection was opened. */
     uint64_t heard_us;  /**< When the latest message arrived from it; 0 if none
                              has, or if the agent has been declared lost. */
     uint64_t linked_us; /**< When the connection was last requested. */
@@ -138,14 +169,15 @@
     uint64_t config_version; /**< Configuration version that it has applied. */
     uint64_t rows_version;   /**< Version of the table service's rows that it
                                   has applied; entries only. */
-    uint64_t version_echo_us; /**< `sent_us` of its latest version message, to
-                                   be echoed. */
-    uint64_t confirmed_us;    /**< Send time of the latest version message in
-                                   reply to which it confirmed that this entry
-                                   is up to date; 0 for none. */
-    uint64_t pushed_us;       /**< When a configuration was last sent to it. */
-    uint64_t first_seen_us;   /**< When it became known to this entry. */
-    uint64_t returned_us;     /**< When it returned to service, 0 for never. */
+    uint64_t version_echo_us;  /**< `sent_us` of its latest version message, to
+                                    be echoed. */
+    uint64_t version_heard_us; /**< When that message arrived. */
+    uint64_t confirmed_us;     /**< Send time of the latest version message in
+                                    reply to which it confirmed that this entry
+                                    is up to date; 0 for none. */
+    uint64_t pushed_us;     /**< When a configuration was last sent to it. */
+    uint64_t first_seen_us; /**< When it became known to this entry. */
+    uint64_t returned_us;   /**< When it returned to service, 0 for never. */
     uint8_t is_out_of_service; /**< By configuration, or leaving. */
     uint8_t reported_leaving;  /**< `leaving` when the policy was last
                                     resolved. */
@@ -257,6 +289,9 @@
     uint32_t expired_until_s; /**< Jobs with keys issued at or before this may
                                    have been dropped. */
     uint64_t random_count;
+    struct ent_subset subset;
+    uint32_t heartbeat_round; /**< Number of rounds of heartbeats sent. */
+    uint32_t entry_count;     /**< Number of other entries known. */
     struct tab peers;
     struct ent_peer *peer_index; /**< By incarnation. */
     struct ent_peer *node_index;
@@ -410,6 +445,11 @@
 void Ent_OnMessage(struct entry *entry, struct now now,
                    const struct frame_header *header, const struct msg *msg);
 
+/** True if this entry is among the first that pass rows on to the entry
+ * `peer`; the others do so only if that does not suffice. */
+int Ent_IsFirstRelay(const struct entry *entry, struct now now,
+                     const struct ent_peer *peer);
+
 /** Run the timers: heartbeats, deadlines, retransmissions, expiry. */
 void Ent_OnTick(struct entry *entry, struct now now);
 
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -187,6 +187,23 @@
     Tab_Remove(&agent->entries, entry);
 }
 
+/* True if a task that the entry ordered is running or held. */
+static int
+has_tasks_of(const struct agent *agent, const struct ag_entry *entry)
+{
+    const struct ag_task *task;
+    if (entry->slots > 0) {
+        return 1;
+    }
+    DL_FOREACH2(agent->running, task, following)
+    {
+        if (task->from == entry->incarnation) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /* Record that the heartbeat sent at `echo_us` was echoed by an entry. */
 static void
 record_echo(struct ag_entry *entry, struct now now, uint64_t echo_us)
@@ -219,6 +236,10 @@
     }
     switch (msg->type) {
     case MSG_HEARTBEAT:
+        if (msg->u.heartbeat.is_last && !has_tasks_of(agent, entry)) {
+            drop_entry(agent, entry);
+            break;
+        }
         entry->heartbeat_echo_us = msg->u.heartbeat.sent_us;
         record_echo(entry, now, msg->u.heartbeat.echo_us);
         entry->version = msg->u.heartbeat.version;
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -7,6 +7,7 @@
 #include "peer.h"
 #include "place.h"
 #include "key_range.h"
+#include "subset.h"
 
 /* Time constant of the average load of a priority class. It need not
  * follow bursts: the jobs of a burst that still wait are counted as queued
@@ -162,7 +163,8 @@
         return 0;
     }
     while ((peer = Tab_Next(&entry->peers, &slot))) {
-        if (peer->member.role == ROLE_AGENT && peer->heard_us == 0) {
+        if (peer->member.role == ROLE_AGENT && peer->heard_us == 0 &&
+            (peer->in_subset || !Enti_UsesSubset(entry))) {
             return 1;
         }
     }
--- a/core/src/entry/config_freshness.c
+++ b/core/src/entry/config_freshness.c
@@ -168,6 +168,7 @@
                const struct msg_version *version)
 {
     peer->version_echo_us = version->sent_us;
+    peer->version_heard_us = now.us;
     if (version->config > peer->config_version) {
         peer->config_version = version->config;
     }
@@ -204,7 +205,7 @@
     CTR_INC(entry->counters, config_applied);
     Enti_ResolveAll(entry, now);
     while (announce && (peer = Tab_Next(&entry->peers, &slot))) {
-        if (peer->member.role == ROLE_AGENT) {
+        if (peer->member.role == ROLE_AGENT && peer->link == ENT_LINKED) {
             push_config(entry, now, peer);
         }
     }
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -8,6 +8,7 @@
 #include "peer.h"
 #include "place.h"
 #include "key_range.h"
+#include "subset.h"
 
 /* Capacities of the tables of services and issuer numbers. */
 #define MAX_SERVICES 1024
@@ -312,6 +313,7 @@
     }
     if (now.us >= entry->next_scan_us) {
         entry->next_scan_us = now.us + SCAN_INTERVAL_US;
+        Enti_UpdateSubset(entry, now);
         scan_jobs(entry, now);
         Enti_DemoteLateJobs(entry, now);
         Enti_PlaceAll(entry, now);
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -6,6 +6,11 @@
 #include "peer.h"
 #include "place.h"
 #include "key_range.h"
+#include "subset.h"
+
+/* Entries to which heartbeats are sent in one round, about. */
+#define ENTRIES_PER_ROUND 16
+#define MAX_ROUNDS 3
 
 struct ent_peer *
 Enti_FindPeer(const struct entry *entry, uint64_t incarnation)
@@ -21,24 +26,37 @@
     return peer->heard_us != 0 && now.us - peer->heard_us < PEER_TIMEOUT_US;
 }
 
+/* Entries exchange heartbeats with each other in one round of several, so that
+ * their cost does not grow with the number of entries. It can be at most one
+ * round in MAX_ROUNDS, for a failure to be noticed within PEER_TIMEOUT_US. */
+static uint32_t
+rounds_between_entries(const struct entry *entry)
+{
+    uint32_t rounds = 1 + entry->entry_count / ENTRIES_PER_ROUND;
+    if (!Enti_UsesSubset(entry)) {
+        return 1;
+    }
+    return rounds < MAX_ROUNDS ? rounds : MAX_ROUNDS;
+}
+
+/* Time without messages after which the connection to a process is
+ * replaced. */
+static uint64_t
+silence_limit_us(const struct entry *entry, const struct ent_peer *peer)
+{
+    uint64_t limit_us = entry->settings.timing.link_timeout_us;
+    return peer->member.role == ROLE_ENTRY
+               ? limit_us * rounds_between_entries(entry)
+               : limit_us;
+}
+
 int
 Enti_IsResponsive(const struct entry *entry, struct now now,
                   const struct ent_peer *peer)
 {
-    return Enti_IsAlive(now, peer) &&
+    return peer->link == ENT_LINKED && Enti_IsAlive(now, peer) &&
            (entry->settings.timing.orphan_timeout_us == 0 ||
-            now.us - peer->heard_us < entry->settings.timing.link_timeout_us);
-}
-
-/* Opens or replaces the connection to a peer. */
-static void
-link_peer(struct entry *entry, struct now now, struct ent_peer *peer)
-{
-    struct act act = {.type = ACT_LINK};
-    act.u.link.peer = peer->member.incarnation;
-    act.u.link.addr = peer->member.addr;
-    peer->linked_us = now.us;
-    Act_Emit(&entry->sink, &act);
+            now.us - peer->heard_us < silence_limit_us(entry, peer));
 }
 
 static void
@@ -61,6 +79,8 @@
     act.u.link.peer = peer->member.incarnation;
     Act_Emit(&entry->sink, &act);
     leave_service(peer);
+    entry->entry_count -= peer->member.role == ROLE_ENTRY;
+    entry->subset.is_stale |= peer->member.role == ROLE_AGENT;
     HASH_DELETE(hh, entry->peer_index, peer);
     HASH_DELETE(node_hh, entry->node_index, peer);
     Tab_Remove(&entry->peers, peer);
@@ -104,14 +124,16 @@
     }
 }
 
-static void
-send_heartbeat(struct entry *entry, struct now now, struct ent_peer *peer)
+void
+Enti_SendHeartbeat(struct entry *entry, struct now now, struct ent_peer *peer,
+                   int is_last)
 {
     struct msg msg = {.type = MSG_HEARTBEAT};
     msg.u.heartbeat.sent_us = now.us;
     msg.u.heartbeat.echo_us = peer->heartbeat_echo_us;
     msg.u.heartbeat.version = entry->registry_version;
     msg.u.heartbeat.draining = entry->draining;
+    msg.u.heartbeat.is_last = (uint8_t)is_last;
     Act_Send(&entry->sink, peer->member.incarnation, &msg);
     Enti_SendVersion(entry, now, peer);
     if (peer->member.role == ROLE_ENTRY) {
@@ -149,6 +171,43 @@
     memcpy(member.dc, header->dc, sizeof(member.dc));
     CTR_INC(entry->counters, strangers);
     Ent_OnMember(entry, now, &member);
+    struct ent_peer *added = Enti_FindPeer(entry, header->from);
+    if (added && added->member.role == ROLE_AGENT) {
+        Enti_LinkAgent(entry, now, added);
+    }
+}
+
+static void
+set_service(struct entry *entry, struct ent_peer *peer, const char *name)
+{
+    struct ent_service *service = NULL;
+    if (name[0]) {
+        service = Enti_GetService(entry, name, 1);
+    }
+    if (peer->service == service) {
+        return;
+    }
+    leave_service(peer);
+    peer->service = service;
+    if (service) {
+        DL_APPEND(service->agents, peer);
+    }
+}
+
+/* What the registry says of an agent's upstream holds until the agent reports
+ * on it. */
+static void
+apply_saved_upstream(struct entry *entry, struct now now,
+                     struct ent_peer *peer, const struct ent_member *member)
+{
+    if (member->service[0] == '\0' ||
+        (peer->link == ENT_LINKED && peer->heard_us)) {
+        return;
+    }
+    set_service(entry, peer, member->service);
+    peer->capacity = member->capacity;
+    peer->labels = member->labels;
+    Enti_ResolveAgent(entry, now, peer);
 }
 
 void
@@ -161,6 +220,7 @@
     }
     if (peer && peer->member.incarnation == member->incarnation) {
         update_registered(peer, member->registered);
+        apply_saved_upstream(entry, now, peer, member);
         return;
     }
     if (peer) {
@@ -184,15 +244,24 @@
     HASH_ADD(node_hh, entry->node_index, member.node,
              (unsigned)strlen(peer->member.node), peer);
     peer->first_seen_us = now.us;
+    peer->node_hash = Enti_HashNode(member->node);
     if (member->role == ROLE_ENTRY) {
         entry->entry_seen_us = now.us;
+        entry->entry_count++;
     }
     HASH_ADD(hh, entry->peer_index, member.incarnation,
              sizeof(peer->member.incarnation), peer);
     Enti_ResolveAgent(entry, now, peer);
-    link_peer(entry, now, peer);
+    if (member->role == ROLE_AGENT) {
+        apply_saved_upstream(entry, now, peer, member);
+    }
+    if (member->role == ROLE_AGENT && Enti_UsesSubset(entry)) {
+        Enti_AddToSubset(entry, now, peer);
+        return;
+    }
+    Enti_LinkPeer(entry, now, peer);
     /* Introduce this entry without waiting for the next heartbeat. */
-    send_heartbeat(entry, now, peer);
+    Enti_SendHeartbeat(entry, now, peer, 0);
 }
 
 void
@@ -275,18 +344,10 @@
 Enti_OnAgentStatus(struct entry *entry, struct now now, struct ent_peer *peer,
                    const struct msg_agent_status *status)
 {
-    struct ent_service *service = NULL;
-    if (status->service[0]) {
-        service = Enti_GetService(entry, status->service, 1);
-    }
-    int service_changed = peer->service != service;
-    if (service_changed) {
-        leave_service(peer);
-        peer->service = service;
-        if (service) {
-            DL_APPEND(service->agents, peer);
-        }
-    }
+    const struct ent_service *earlier = peer->service;
+    set_service(entry, peer, status->service);
+    struct ent_service *service = peer->service;
+    int service_changed = service != earlier;
     update_registered(peer, status->registered);
     peer->slots = status->slots;
     peer->connections = status->connections;
@@ -315,7 +376,7 @@
 is_link_silent(const struct entry *entry, struct now now,
                const struct ent_peer *peer)
 {
-    uint64_t limit_us = entry->settings.timing.link_timeout_us;
+    uint64_t limit_us = silence_limit_us(entry, peer);
     uint64_t heard_us =
         peer->echoed_us < peer->heard_us ? peer->echoed_us : peer->heard_us;
     return now.us - peer->linked_us > limit_us &&
@@ -342,21 +403,51 @@
     }
 }
 
+/* Ends the exchange of heartbeats with an agent: the last one is sent, and the
+ * connection is closed in the next round, when that has been transmitted. */
+static void
+close_link(struct entry *entry, struct now now, struct ent_peer *agent)
+{
+    struct act act = {.type = ACT_UNLINK};
+    switch (agent->link) {
+    case ENT_LINKED:
+        Enti_SendHeartbeat(entry, now, agent, 1);
+        agent->link = ENT_CLOSING;
+        break;
+    case ENT_CLOSING:
+        act.u.link.peer = agent->member.incarnation;
+        agent->link = ENT_UNLINKED;
+        Act_Emit(&entry->sink, &act);
+        break;
+    case ENT_UNLINKED:
+        break;
+    }
+}
+
 void
 Enti_SendHeartbeats(struct entry *entry, struct now now)
 {
+    uint32_t rounds = rounds_between_entries(entry);
     uint32_t slot = 0;
     struct ent_peer *peer;
+    entry->heartbeat_round++;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
+        if (peer->link != ENT_LINKED || Enti_IsUnused(entry, now, peer)) {
+            close_link(entry, now, peer);
+            continue;
+        }
         uint64_t silent_us = now.us - peer->heard_us;
         if (is_link_silent(entry, now, peer)) {
             CTR_INC(entry->counters, links_replaced);
-            link_peer(entry, now, peer);
+            Enti_LinkPeer(entry, now, peer);
             Enti_ResendSoon(entry, now, peer->member.incarnation);
         }
         if (peer->heard_us && peer->member.role == ROLE_AGENT) {
             check_silence(entry, now, peer, silent_us);
         }
-        send_heartbeat(entry, now, peer);
+        if (peer->member.role == ROLE_AGENT ||
+            (entry->heartbeat_round + slot) % rounds == 0) {
+            Enti_SendHeartbeat(entry, now, peer, 0);
+        }
     }
 }
--- a/core/src/entry/peer.h
+++ b/core/src/entry/peer.h
@@ -66,6 +66,10 @@
 struct ent_peer *Enti_TouchPeer(struct entry *entry, struct now now,
                                 const struct frame_header *header);
 
+/** Send a heartbeat; `is_last` if no further ones follow. */
+void Enti_SendHeartbeat(struct entry *entry, struct now now,
+                        struct ent_peer *peer, int is_last);
+
 /** Handle a heartbeat. */
 void Enti_OnHeartbeat(struct entry *entry, struct now now,
                       struct ent_peer *peer,
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -4,6 +4,7 @@
 #include "job.h"
 #include "peer.h"
 #include "place.h"
+#include "subset.h"
 
 /* ENT_BASELINE: delay before a refused task is placed again. */
 #define BASELINE_RETRY_US (50 * US_PER_MS)
@@ -18,6 +19,7 @@
     task->state = ENT_SENT;
     task->attempt++;
     task->agent = agent->member.incarnation;
+    agent->used_us = now.us;
     job->preferred_agent = job->flags & SUB_REQUEST ? 0 : task->agent;
     Enti_AdjustStepWaiting(job, task, -1);
     Enti_AdjustQueueWaiting(job, -1);
@@ -136,8 +138,8 @@
     uint32_t ejected = 0;
     DL_FOREACH(service->agents, agent)
     {
-        agents++;
-        ejected += agent->ejected;
+        agents += agent->link == ENT_LINKED;
+        ejected += agent->link == ENT_LINKED && agent->ejected;
     }
     service->use_ejected =
         (int64_t)ejected * 100 > agents * policy->value[POL_EJECT_SHARE];
@@ -183,6 +185,9 @@
     while (service->free_capacity && place_next(entry, now, service) == 0) {
         service->free_capacity--;
     }
+    if (service->waiting) {
+        Enti_ExtendSubset(entry, now, service);
+    }
 }
 
 void
--- a/core/src/entry/remote.c
+++ b/core/src/entry/remote.c
@@ -1,33 +1,23 @@
 /* Jobs whose keys are owned by another entry. */
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "job.h"
 #include "peer.h"
 #include "key_range.h"
+#include "subset.h"
 
 /* Retransmission interval of a submission forwarded to the owner. */
 #define SUBMIT_RESEND_US (1 * US_PER_S)
 
-static uint64_t
-rendezvous_score(uint64_t issuer, uint64_t entry)
-{
-    static const unsigned char key[crypto_shorthash_KEYBYTES];
-    uint64_t pair[2] = {issuer, entry};
-    uint64_t score;
-    crypto_shorthash((unsigned char *)&score, (const unsigned char *)pair,
-                     sizeof(pair), key);
-    return score;
-}
-
 /* The live entry that is to take the key range over: the one with the highest
  * rendezvous hash, so that all entries agree without communication. */
 static uint64_t
 choose_new_owner(const struct entry *entry, struct now now, uint64_t issuer)
 {
     uint64_t best = entry->settings.incarnation;
-    uint64_t best_score = entry->draining ? 0 : rendezvous_score(issuer, best);
+    uint64_t best_score =
+        entry->draining ? 0 : Enti_RendezvousScore(issuer, best);
     uint32_t slot = 0;
     struct ent_peer *peer;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
@@ -35,7 +25,8 @@
             !Enti_IsAlive(now, peer)) {
             continue;
         }
-        uint64_t score = rendezvous_score(issuer, peer->member.incarnation);
+        uint64_t score =
+            Enti_RendezvousScore(issuer, peer->member.incarnation);
         if (score > best_score) {
             best = peer->member.incarnation;
             best_score = score;
--- a/core/src/entry/takeover.c
+++ b/core/src/entry/takeover.c
@@ -8,6 +8,7 @@
 #include "peer.h"
 #include "place.h"
 #include "key_range.h"
+#include "subset.h"
 
 /* Retransmission interval of a fence whose report is incomplete. */
 #define FENCE_RESEND_US (500 * US_PER_MS)
@@ -41,7 +42,7 @@
     msg.u.fence.issuer = issuer->issuer;
     msg.u.fence.epoch = issuer->epoch;
     fence->resend_us = now.us + FENCE_RESEND_US;
-    Act_Send(&entry->sink, fence->agent, &msg);
+    Enti_SendToAgent(entry, now, fence->agent, &msg);
 }
 
 static struct ent_fence *
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -15,6 +15,9 @@
 #include "shell/link.h"
 #include "shell/registry.h"
 
+/* Agents that an idle entry exchanges heartbeats with. */
+#define SUBSET_SIZE 24
+
 struct entry_daemon {
     const struct settings *settings;
     struct reload *reload;
@@ -242,8 +245,10 @@
         .require_fresh = !Adapter_IsOn(daemon->settings),
         .keep_heard_members = (uint8_t)Adapter_IsOn(daemon->settings),
         .tick_us = TICK_US,
+        .subset_size = Adapter_IsOn(daemon->settings) ? SUBSET_SIZE : 0,
     };
     Adapter_Timing(daemon->settings, &core.timing);
+    memcpy(core.node, daemon->settings->node, sizeof(core.node));
     memcpy(core.dc, daemon->settings->data_centre, sizeof(core.dc));
     randombytes_buf(core.seed, sizeof(core.seed));
     if (Ent_Init(&daemon->core, &core, Loop_Now(), sink, &daemon->counters)) {
--- a/daemon/rows.c
+++ b/daemon/rows.c
@@ -11,6 +11,8 @@
 /* Time after a change of the rows here until they are sent to entries that
  * lag behind, and interval between sends to the same entry. */
 #define RELAY_DELAY_US (300 * US_PER_MS)
+/* The same at the entries that are not among the first relays. */
+#define BACKUP_RELAY_DELAY_US (1200 * US_PER_MS)
 
 static json_t *
 find_row(const struct control *control, const char *key)
@@ -324,6 +326,32 @@
     free(text);
 }
 
+static int
+may_lag(const struct control *control, const struct ent_peer *peer)
+{
+    return peer->rows_version != 0 ||
+           (Adapter_IsOn(control->settings) && peer->version_echo_us != 0);
+}
+
+/* Whether the peer lacks rows although it has had time to read them, by a
+ * message that it sent after that time. Some entries relay first; the others
+ * wait longer, as with many entries a row sent by all of them takes more
+ * processor time than all other work. */
+static int
+is_relay_due(const struct control *control, struct now now,
+             const struct ent_peer *peer)
+{
+    uint64_t since_us = control->rows_changed_us > peer->pushed_us
+                            ? control->rows_changed_us
+                            : peer->pushed_us;
+    if (!may_lag(control, peer) ||
+        peer->version_heard_us < since_us + RELAY_DELAY_US) {
+        return 0;
+    }
+    return peer->version_heard_us >= since_us + BACKUP_RELAY_DELAY_US ||
+           Ent_IsFirstRelay(control->core, now, peer);
+}
+
 void
 Rows_Relay(struct control *control, int at_once)
 {
@@ -334,12 +362,10 @@
         return;
     }
     while ((peer = Tab_Next(&control->core->peers, &slot))) {
-        int due = at_once || now.us - peer->pushed_us >= RELAY_DELAY_US;
-        int may_lag =
-            peer->rows_version != 0 ||
-            (Adapter_IsOn(control->settings) && peer->version_echo_us != 0);
-        if (peer->member.role == ROLE_ENTRY && may_lag &&
-            peer->rows_version < control->core->registry_version && due) {
+        if (peer->member.role == ROLE_ENTRY &&
+            peer->rows_version < control->core->registry_version &&
+            (at_once ? may_lag(control, peer)
+                     : is_relay_due(control, now, peer))) {
             relay_to(control, peer, now);
         }
     }
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -20,6 +20,30 @@
     registry->context = context;
 }
 
+/* Reads the upstream that an agent saved in its row; leaves `service` empty if
+ * there is none. */
+static void
+read_saved_upstream(struct ent_member *member, const json_t *saved)
+{
+    json_int_t cpu = 0;
+    json_int_t memory_mb = 0;
+    json_int_t gpu = 0;
+    size_t i;
+    const json_t *label;
+    if (!saved || json_unpack((json_t *)saved, "{s:I,s:I,s:I}", "cpu", &cpu,
+                              "memory_mb", &memory_mb, "gpu", &gpu)) {
+        return;
+    }
+    Js_CopyText(member->service, sizeof(member->service), saved, "service");
+    member->capacity.cpu = (uint32_t)cpu;
+    member->capacity.memory_mb = (uint32_t)memory_mb;
+    member->capacity.gpu = (uint32_t)gpu;
+    json_array_foreach(json_object_get(saved, "labels"), i, label)
+    {
+        Labels_Add(&member->labels, json_string_value(label));
+    }
+}
+
 int
 Reg_ReadMember(struct ent_member *member, const char *key, const json_t *value,
                uint64_t version)
@@ -41,6 +65,7 @@
     member->incarnation = strtoull(incarnation, NULL, 16);
     member->registered = version;
     member->replaced = json_is_true(json_object_get(value, "replaced"));
+    read_saved_upstream(member, json_object_get(value, "note"));
     return member->incarnation ? 0 : -1;
 }
 
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -12,7 +12,7 @@
 #include "wire/key.h"
 
 /** Version of the message format. Frames of any other version are rejected. */
-#define WIRE_VERSION 3
+#define WIRE_VERSION 4
 /** Maximum number of tasks in a job. */
 #define WIRE_MAX_TASKS 820
 /** Task number that refers to all tasks of a job. */
@@ -212,6 +212,8 @@
     uint64_t version; /**< Entry: registry version that it has applied. Agent:
                            registry version of its registration. */
     uint8_t draining; /**< The sender is shutting down. */
+    uint8_t is_last;  /**< The sender, an entry, has no tasks at the receiver
+                           and sends no further heartbeats until it has. */
 };
 
 /** MSG_AGENT_STATUS, agent to entry: capacity and load of the upstream. */
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -61,12 +61,13 @@
 static void
 put_heartbeat(msgpack_packer *pk, const struct msg_heartbeat *m)
 {
-    msgpack_pack_array(pk, 5);
+    msgpack_pack_array(pk, 6);
     put_uint(pk, MSG_HEARTBEAT);
     put_uint(pk, m->sent_us);
     put_uint(pk, m->echo_us);
     put_uint(pk, m->version);
     put_uint(pk, m->draining);
+    put_uint(pk, m->is_last);
 }
 
 static void
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -152,6 +152,7 @@
     m->echo_us = take_u64(c);
     m->version = take_u64(c);
     m->draining = (uint8_t)take_uint(c, 1);
+    m->is_last = (uint8_t)take_uint(c, 1);
 }
 
 static void
