Tests of the subset of agents; last heartbeat, extension by need

The simulated network now loses messages to nodes without a connection, as the links do. The tests fail without the changes here: the version message after the last heartbeat made the agent add the entry again, and a job that only unlinked agents could run waited until its deadline, as the extension chose agents at random and stopped at its limit.

--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -135,6 +135,9 @@
     msg.u.heartbeat.draining = entry->draining;
     msg.u.heartbeat.is_last = (uint8_t)is_last;
     Act_Send(&entry->sink, peer->member.incarnation, &msg);
+    if (is_last) {
+        return;
+    }
     Enti_SendVersion(entry, now, peer);
     if (peer->member.role == ROLE_ENTRY) {
         Enti_SendIssuers(entry, peer->member.incarnation);
--- a/core/src/entry/subset.c
+++ b/core/src/entry/subset.c
@@ -8,9 +8,12 @@
 
 #include <sodium.h>
 #include <string.h>
+#include <utlist.h>
 
+#include "job.h"
 #include "key_range.h"
 #include "peer.h"
+#include "place.h"
 
 /* Home entries of an agent. With three, one is left when two are lost. */
 #define MIN_HOMES 3
@@ -27,6 +30,8 @@
 #define LINKS_PER_SCAN 16
 /* Maximum number of entries that homes are chosen from. */
 #define MAX_CANDIDATES 256
+/* Maximum number of waiting jobs examined for an extension. */
+#define MAX_TRIED_JOBS 16
 /* Entries that pass rows on to a lagging entry first. */
 #define FIRST_RELAYS 3
 
@@ -247,37 +252,88 @@
            agent->requests == 0 && now.us - agent->used_us > UNUSED_LINK_US;
 }
 
-/* Whether the agent may have slots for the service and is not linked. An agent
- * of which nothing is known may be of any service. */
+/* Whether an agent that is not linked may run tasks of the step. One of which
+ * nothing is known may be of any service. */
 static int
-may_extend_to(const struct ent_peer *peer, const struct ent_service *service)
+may_extend_to(const struct ent_peer *peer, const struct ent_job *job,
+              const struct ent_step *step)
 {
-    return peer->member.role == ROLE_AGENT && peer->link != ENT_LINKED &&
-           (!peer->service || peer->service == service) &&
-           !peer->is_out_of_service;
+    if (peer->member.role != ROLE_AGENT || peer->link == ENT_LINKED ||
+        peer->is_out_of_service) {
+        return 0;
+    }
+    return !peer->service ||
+           (peer->service == job->service && Enti_CouldFit(peer, job, step));
 }
 
-/* A random unlinked agent, so that entries whose subsets are full at the same
- * time extend them by different agents. Sets `linked` to the number of linked
- * agents. NULL if there is none. */
+/* A random agent that may run the step, so that entries whose subsets are full
+ * at the same time extend them by different agents. NULL if there is none. */
 static struct ent_peer *
-pick_unlinked(struct entry *entry, const struct ent_service *service,
-              uint32_t *linked)
+pick_unlinked(struct entry *entry, const struct ent_job *job,
+              const struct ent_step *step)
 {
     struct ent_peer *picked = NULL;
     struct ent_peer *peer;
     uint32_t slot = 0;
     uint32_t seen = 0;
-    *linked = 0;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
-        *linked += peer->member.role == ROLE_AGENT && peer->link == ENT_LINKED;
-        if (may_extend_to(peer, service) && Enti_Random(entry) % ++seen == 0) {
+        if (may_extend_to(peer, job, step) &&
+            Enti_Random(entry) % ++seen == 0) {
             picked = peer;
         }
     }
     return picked;
 }
 
+static uint32_t
+count_linked(const struct ent_service *service)
+{
+    const struct ent_peer *agent;
+    uint32_t count = 0;
+    DL_FOREACH(service->agents, agent)
+    {
+        count += agent->link == ENT_LINKED;
+    }
+    return count;
+}
+
+static int
+fits_linked(const struct ent_job *job, const struct ent_step *step)
+{
+    const struct ent_peer *agent;
+    DL_FOREACH(job->service->agents, agent)
+    {
+        if (agent->link == ENT_LINKED && Enti_CouldFit(agent, job, step)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* The waiting job for which the subset is extended: one that no linked agent
+ * could run, or else the first. */
+static const struct ent_job *
+pick_waiting_job(const struct ent_service *service)
+{
+    const struct ent_job *first = NULL;
+    int tried = 0;
+    for (int lane = 0; lane < ENT_LANES; lane++) {
+        const struct ent_job *job;
+        DL_FOREACH(service->lanes[lane].jobs, job)
+        {
+            const struct ent_step *step = Enti_NextStep(job, 0);
+            if (step && !fits_linked(job, step)) {
+                return job;
+            }
+            first = first || !step ? first : job;
+            if (++tried == MAX_TRIED_JOBS) {
+                return first;
+            }
+        }
+    }
+    return first;
+}
+
 void
 Enti_ExtendSubset(struct entry *entry, struct now now,
                   const struct ent_service *service)
@@ -286,11 +342,16 @@
         return;
     }
     entry->subset.next_extend_us = now.us + EXTENSION_INTERVAL_US;
+    const struct ent_job *job = pick_waiting_job(service);
+    const struct ent_step *step = job ? Enti_NextStep(job, 0) : NULL;
+    if (!step || (count_linked(service) >=
+                      EXTENSION_FACTOR * entry->settings.subset_size &&
+                  fits_linked(job, step))) {
+        return;
+    }
     for (int i = 0; i < EXTENSION_AGENTS; i++) {
-        uint32_t linked;
-        struct ent_peer *agent = pick_unlinked(entry, service, &linked);
-        if (!agent ||
-            linked >= EXTENSION_FACTOR * entry->settings.subset_size) {
+        struct ent_peer *agent = pick_unlinked(entry, job, step);
+        if (!agent) {
             return;
         }
         CTR_INC(entry->counters, subset_extended);
--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -18,7 +18,7 @@
 #include "core/entry.h"
 #include "wire/frame.h"
 
-#define NET_MAX_NODES 16
+#define NET_MAX_NODES 80
 #define NET_MAX_STARTS 4096
 #define NET_MAX_REPLIES 256
 #define NET_MAX_RUNNING 256
@@ -44,6 +44,8 @@
     int leaving;  /**< The upstream accepts no new tasks. */
     struct resources capacity; /**< Of its upstream; if all 0, it has slots. */
     struct labels labels;      /**< Of its upstream. */
+    uint8_t linked[NET_MAX_NODES]; /**< Which nodes it has a connection to;
+                                        messages to others are lost. */
 };
 
 /** A frame that has been sent and not yet delivered. */
@@ -94,6 +96,7 @@
     struct net_run runs[NET_MAX_RUNNING];
     struct net_reply replies[NET_MAX_REPLIES];
     uint32_t reply_count;
+    uint32_t peer_capacity; /**< Of entries added from now on. */
     uint32_t job_capacity;  /**< Of entries added from now on. */
     uint32_t task_capacity; /**< Of agents added from now on. */
     /** Decides about each message to a known node; NULL passes all. */
@@ -103,6 +106,8 @@
     int filter_arg;         /**< For use by `filter`. */
     struct timing timing;   /**< Of nodes added from now on; all 0: default. */
     int keep_heard_members; /**< Setting of entries added from now on. */
+    uint32_t subset_size;   /**< The same. */
+    const char *dc; /**< Data centre of nodes added from now on, or NULL. */
 };
 
 /** The node with this incarnation, or NULL. */
@@ -133,10 +138,13 @@
     struct net *net = node->net;
     struct net_node *target = Net_Find(net, to);
     enum net_verdict verdict = NET_PASS;
-    if (target && net->filter) {
+    if (!target || !node->linked[target - net->nodes]) {
+        return;
+    }
+    if (net->filter) {
         verdict = net->filter(net, node, target, msg);
     }
-    if (!target || verdict == NET_DROP) {
+    if (verdict == NET_DROP) {
         return;
     }
     struct net_frame *frame = calloc(1, sizeof(*frame));
@@ -174,6 +182,15 @@
     fail_msg("more tasks running than NET_MAX_RUNNING");
 }
 
+static void
+net_set_linked(struct net_node *node, uint64_t peer, int is_linked)
+{
+    const struct net_node *target = Net_Find(node->net, peer);
+    if (target) {
+        node->linked[target - node->net->nodes] = (uint8_t)is_linked;
+    }
+}
+
 static void
 net_emit(void *context, const struct act *act)
 {
@@ -211,8 +228,10 @@
         break;
     }
     case ACT_LINK:
-    case ACT_LOG_EVENT:
     case ACT_UNLINK:
+        net_set_linked(node, act->u.link.peer, act->type == ACT_LINK);
+        break;
+    case ACT_LOG_EVENT:
         break;
     }
 }
@@ -224,6 +243,7 @@
     memset(net, 0, sizeof(*net));
     net->now.us = 1000 * US_PER_S;
     net->now.wall = 1000000;
+    net->peer_capacity = 32;
     net->job_capacity = 256;
     net->task_capacity = 1024;
     Key_Derive(&net->secret, "test passphrase");
@@ -250,6 +270,10 @@
              net->count);
     memcpy(node->member.node, node->header.node, sizeof(node->member.node));
     memcpy(node->member.addr, node->header.addr, sizeof(node->member.addr));
+    if (net->dc) {
+        snprintf(node->member.dc, sizeof(node->member.dc), "%s", net->dc);
+        memcpy(node->header.dc, node->member.dc, sizeof(node->header.dc));
+    }
     node->member.role = role;
     node->member.incarnation = node->header.from;
     return node;
@@ -300,11 +324,14 @@
     struct ent_settings settings = {
         .incarnation = node->header.from,
         .job_capacity = net->job_capacity,
-        .peer_capacity = 32,
+        .peer_capacity = net->peer_capacity,
         .key_lifetime_s = 300,
         .timing = net->timing,
         .keep_heard_members = (uint8_t)net->keep_heard_members,
+        .subset_size = net->subset_size,
     };
+    memcpy(settings.node, node->member.node, sizeof(settings.node));
+    memcpy(settings.dc, node->member.dc, sizeof(settings.dc));
     settings.seed[0] = (unsigned char)net->count;
     struct act_sink sink = {net_emit, node};
     assert_int_equal(
