--- a/base/include/base/tab.h
+++ b/base/include/base/tab.h
@@ -3,7 +3,8 @@
  *
  * A handle holds the index of a slot and the slot's generation, which changes
  * each time that the slot is reused. A stale handle is thus detected instead
- * of referring to another row. */
+ * of referring to another row. The top 4 bits of a handle are 0, for flags
+ * that callers add. */
 #ifndef BASE_TAB_H
 #define BASE_TAB_H
 
--- a/base/src/tab.c
+++ b/base/src/tab.c
@@ -5,6 +5,8 @@
 
 #define GENERATION_SHIFT 32
 #define SLOT_MASK 0xffffffffu
+/* Leaves the top bits of handles free. */
+#define GENERATION_MASK 0x0fffffffu
 
 static struct tab_row *
 row_at(const struct tab *tab, uint32_t slot)
@@ -48,7 +50,7 @@
         return NULL;
     }
     /* 0 is skipped when the generation wraps: handle 0 means no row. */
-    uint32_t generation = row->generation + 1;
+    uint32_t generation = (row->generation + 1) & GENERATION_MASK;
     memset(row, 0, tab->row_size);
     row->generation = generation ? generation : 1;
     row->in_use = 1;
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -125,9 +125,7 @@
 struct ent_peer {
     struct tab_row row;
     struct ent_member member;
-    enum ent_link link;
     uint64_t node_hash; /**< Of the node's name. */
-    uint8_t in_subset;  /**< This entry is a home entry of the agent. */
     uint64_t used_us;   /**< When a task was last sent to the agent, or the
                              connection was opened. */
     uint64_t heard_us;  /**< When the latest message arrived from it; 0 if none
@@ -140,6 +138,8 @@
     uint64_t rtt_us;            /**< Latest round-trip time. */
     uint64_t registry_version;  /**< Registry version that it has applied, from
                                      its heartbeats. */
+    enum ent_link link;
+    uint8_t in_subset; /**< This entry is a home entry of the agent. */
     uint8_t draining;
     struct ent_service *service;  /**< NULL for entries. */
     struct ent_peer *prev, *next; /**< In the service's list of agents. */
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -126,6 +126,9 @@
                       yet. */
 };
 
+/** Maximum number of tasks refused between two ticks. */
+#define RN_MAX_UNSTARTED 1024
+
 /** A run and the state of its orders. */
 struct rn_run {
     struct tab_row row;
@@ -200,7 +203,11 @@
     uint64_t fast_poll_until_us; /**< Until then polls are more frequent, since
                                       answers are being lost. */
     struct tab runs;
-    struct rn_run *index; /**< `runs` by id. */
+    struct rn_run *index;                   /**< `runs` by id. */
+    tab_handle unstarted[RN_MAX_UNSTARTED]; /**< Tasks that could not be
+                                                 started and whose RN_END is
+                                                 due. */
+    uint32_t unstarted_count;
 };
 
 /** Initialise a runner in memory provided by the caller. `lease_us` is the
@@ -222,7 +229,7 @@
 
 /** Start a run of a task. Its input is copied. RN_END follows, but not during
  * this call. If memory cannot be allocated or RN_MAX_RUNS is reached, no run
- * is started and no RN_END follows. */
+ * is started, and RN_END has CODE_NO_MEMORY. */
 void Rn_Start(struct runner *runner, struct now now, tab_handle task,
               const struct msg_start *start);
 
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -132,6 +132,17 @@
     }
 }
 
+/* The task's owner learns of it in the next tick: it must not be called back
+ * while it starts the task. */
+static void
+defer_refusal(struct runner *runner, tab_handle task)
+{
+    CTR_INC(runner->counters, actions_dropped);
+    if (runner->unstarted_count < RN_MAX_UNSTARTED) {
+        runner->unstarted[runner->unstarted_count++] = task;
+    }
+}
+
 void
 Rn_Start(struct runner *runner, struct now now, tab_handle task,
          const struct msg_start *start)
@@ -148,9 +159,7 @@
     struct rn_run *run = Rni_Add(runner, &id);
     void *input = malloc(start->input.size ? start->input.size : 1);
     if (!run || !input) {
-        /* Without a record of the run no RN_END follows. The agent ends the
-         * task when the task's own lease expires. */
-        CTR_INC(runner->counters, actions_dropped);
+        defer_refusal(runner, task);
         free(input);
         if (run) {
             HASH_DELETE(hh, runner->index, run);
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -189,11 +189,22 @@
     emit(runner, RN_READY);
 }
 
+static void
+refuse_unstarted(struct runner *runner)
+{
+    while (runner->unstarted_count > 0) {
+        struct rn_act act = {.type = RN_END, .code = CODE_NO_MEMORY};
+        act.task = runner->unstarted[--runner->unstarted_count];
+        runner->sink.emit(runner->sink.context, &act);
+    }
+}
+
 void
 Rn_OnTick(struct runner *runner, struct now now)
 {
     uint32_t slot = 0;
     struct rn_run *run;
+    refuse_unstarted(runner);
     while ((run = Tab_Next(&runner->runs, &slot))) {
         if (run->state == RN_STOPPING && !run->order_pending &&
             now.us >= run->due_us) {
--- a/daemon/agent_config.c
+++ b/daemon/agent_config.c
@@ -71,7 +71,14 @@
         status = Cj_Read(&ac->scratch, root, &err);
     }
     json_decref(root);
-    if (status || ac->scratch.version != state->version) {
+    if (!status && ac->scratch.version != state->version) {
+        status =
+            Err_Set(&err, CODE_BAD_FIELD,
+                    "its rows are of version %llu, allowed is the version "
+                    "of the message",
+                    (unsigned long long)ac->scratch.version);
+    }
+    if (status) {
         CTR_INC(ac->counters, config_corrupt);
         LOG_WARN("config", "Configuration version %llu rejected: %s.",
                  (unsigned long long)state->version, err.text);
--- a/measure/load.c
+++ b/measure/load.c
@@ -412,23 +412,29 @@
 }
 
 static int
-add_endpoints(char *list)
+add_endpoints(char *list, struct err *err)
 {
-    struct err err = {0};
     for (char *addr = strtok(list, ","); addr; addr = strtok(NULL, ",")) {
         if (load.endpoint_count == MAX_ENTRIES) {
-            return -1;
+            return Err_Set(err, CODE_BAD_FIELD,
+                           "--entries names more than %d addresses",
+                           MAX_ENTRIES);
         }
         struct endpoint *endpoint = &load.endpoints[load.endpoint_count++];
         endpoint->addr = addr;
         for (int i = 0; i < CLIENTS_PER_ENTRY; i++) {
             if (Hc_Init(&endpoint->clients[i], &load.loop, HC_MAX_CALLS,
-                        &err)) {
+                        err)) {
                 return -1;
             }
         }
     }
-    return load.endpoint_count ? 0 : -1;
+    if (!load.endpoint_count) {
+        return Err_Set(err, CODE_BAD_FIELD,
+                       "--entries names no address, allowed are 1 to %d",
+                       MAX_ENTRIES);
+    }
+    return 0;
 }
 
 static const char usage[] =
@@ -505,7 +511,7 @@
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
-    if (Loop_Init(&load.loop, &err) || add_endpoints(entries)) {
+    if (Loop_Init(&load.loop, &err) || add_endpoints(entries, &err)) {
         LOG_ERROR("load", "Cannot start the load generator: %s.", err.text);
         return 1;
     }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -96,12 +96,35 @@
     assert_non_null(strstr(text, "jacinthpick_log_dropped "));
 }
 
+/* Connections add flags to handles; a row that is reused for months must not
+ * set the same bits. */
+static void
+top_bits_of_handles_stay_free(void **state)
+{
+    struct tab tab;
+    struct row {
+        struct tab_row row;
+    } * row;
+    (void)state;
+    assert_int_equal(Tab_Init(&tab, sizeof(struct row), 1), 0);
+    row = Tab_Add(&tab);
+    row->row.generation = (1u << 28) - 1;
+    Tab_Remove(&tab, row);
+    row = Tab_Add(&tab);
+    tab_handle handle = Tab_Handle(&tab, row);
+    assert_true(handle != 0);
+    assert_int_equal(handle >> 60, 0);
+    assert_ptr_equal(Tab_Get(&tab, handle), row);
+    Tab_Finish(&tab);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(handle_of_removed_row_is_invalid),
         cmocka_unit_test(add_to_full_table_fails),
+        cmocka_unit_test(top_bits_of_handles_stay_free),
         cmocka_unit_test(first_error_is_kept),
         cmocka_unit_test(counters_are_printed_by_name_and_code),
         cmocka_unit_test(log_drops_lines_above_its_rate),
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -14,7 +14,7 @@
 
 #include "shell/link.h"
 
-#define FIRST_PORT 20600
+#define PORT 20600
 #define ROUNDS 30
 #define SENDERS 8
 #define FRAMES 80
@@ -51,7 +51,11 @@
     struct key_secret secret = {0};
     nng_socket senders[SENDERS];
     char listen[WIRE_ADDR_SIZE];
-    snprintf(listen, sizeof(listen), "127.0.0.1:%d", FIRST_PORT + round);
+    /* Each process has an address of its own, so that copies of this test can
+     * run at the same time. */
+    unsigned pid = (unsigned)getpid();
+    snprintf(listen, sizeof(listen), "127.%u.%u.%u:%d", 1 + (pid >> 16 & 63),
+             pid >> 8 & 255, 1 + (pid & 255) % 254, PORT + round);
     assert_int_equal(Loop_Init(loop, &err), 0);
     assert_int_equal(Link_Init(&links, loop, listen, &header, &secret,
                                ignore_message, NULL, &counters, &err),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -56,6 +56,21 @@
     assert_int_equal(ends, 1);
 }
 
+/* Without an end the agent would count the task's slot as taken for good. */
+static void
+task_that_cannot_be_recorded_ends_as_not_run(void **state)
+{
+    (void)state;
+    announce();
+    runner.runs.capacity = 0;
+    start_task(1, 1, 0);
+    assert_int_equal(ends, 0);
+    Rn_OnTick(&runner, now());
+    assert_int_equal(ends, 1);
+    assert_int_equal(last_code, CODE_NO_MEMORY);
+    assert_int_equal(Code_Run(last_code), CODE_NOT_RUN);
+}
+
 static void
 unanswered_start_is_resent_and_runs_once(void **state)
 {
@@ -275,6 +290,7 @@
         TEST(task_runs_to_completion),
         TEST(earlier_runs_are_stopped_before_upstream_is_usable),
         TEST(stopped_run_is_kept_until_its_end_is_listed),
+        TEST(task_that_cannot_be_recorded_ends_as_not_run),
         TEST(unanswered_start_is_resent_and_runs_once),
         TEST(unanswered_start_is_invalidated_before_task_ends),
         TEST(unanswered_start_is_found_in_list_of_runs),
