Random faults in a fleet with subsets: no task runs twice at a time

Six entries, 15 agents, subsets of four; messages lost, entries killed and paused, agents paused, pairs cut, callers that resubmit.

--- /dev/null
+++ b/tests/test_subset_faults.c
@@ -0,0 +1,284 @@
+/* Random faults in a fleet whose entries follow a subset of the agents each:
+ * messages are lost, entries die, pause or are cut off from agents, callers
+ * resubmit, and the subsets are extended and shrunk meanwhile. No task may run
+ * twice at the same time, and once the faults end every job is answered. */
+#include "caller.h"
+
+#define ENTRIES 6
+#define AGENTS 15
+#define JOBS 120
+#define SEEDS 4
+#define JOB_INTERVAL_MS 160
+#define FAULTS_MS (JOBS * JOB_INTERVAL_MS)
+#define FIRST_NAME 0x5c0e7a21d94b0000ull
+
+/* A caller with one job. */
+struct job {
+    struct net_node *entry; /* Where it is submitted; NULL for nowhere. */
+    uint64_t resubmit_us;   /* When it is submitted again. */
+    uint32_t tasks;
+    int is_submitted;
+    int is_answered;
+};
+
+static struct net net;
+static struct net_node *entries[ENTRIES];
+static struct net_node *agents[AGENTS];
+static struct job jobs[JOBS];
+static uint64_t random_state;
+static uint64_t paused_until_us[NET_MAX_NODES];
+static const struct net_node *cut_entry;
+static const struct net_node *cut_agent;
+static uint32_t loss_percent;
+
+static uint32_t
+draw(uint32_t bound)
+{
+    random_state = random_state * 6364136223846793005ull + 1442695040888963407;
+    return (uint32_t)(random_state >> 33) % bound;
+}
+
+static enum net_verdict
+lose_some(struct net *n, const struct net_node *from,
+          const struct net_node *to, const struct msg *msg)
+{
+    (void)n;
+    (void)msg;
+    int is_cut = (from == cut_entry && to == cut_agent) ||
+                 (from == cut_agent && to == cut_entry);
+    return is_cut || draw(100) < loss_percent ? NET_DROP : NET_PASS;
+}
+
+static void
+start_fleet(uint64_t seed)
+{
+    static const char *const data_centres[] = {"erie", "huron", "ontario"};
+    char name[WIRE_NAME_SIZE];
+    memset(jobs, 0, sizeof(jobs));
+    memset(paused_until_us, 0, sizeof(paused_until_us));
+    cut_entry = cut_agent = NULL;
+    random_state = seed;
+    Net_InitRestartable(&net);
+    net.subset_size = 4;
+    net.peer_capacity = NET_MAX_NODES;
+    for (int i = 0; i < AGENTS; i++) {
+        net.dc = data_centres[i % 3];
+        snprintf(name, sizeof(name), "worker-%d", i);
+        agents[i] = Net_AddWorker(&net, name);
+    }
+    for (int i = 0; i < ENTRIES; i++) {
+        net.dc = data_centres[i % 3];
+        snprintf(name, sizeof(name), "entry-%d", i);
+        entries[i] = Net_AddEntry(&net, name);
+    }
+    Net_Run(&net, 7000);
+}
+
+static void
+submit(uint32_t i)
+{
+    static struct sub_task list[4];
+    struct job *job = &jobs[i];
+    struct sub_step step = {.need = {3000, 64, 0}};
+    struct net_node *entry = entries[draw(ENTRIES)];
+    job->is_submitted = 1;
+    if (!entry->up || entry->paused) {
+        job->resubmit_us = net.now.us + RESUBMIT_MS * US_PER_MS;
+        return;
+    }
+    struct submission sub = {
+        .key = Net_IssueKey(entry),
+        .service = "finishing",
+        .kind = "edge-check",
+        .deadline_ms = 8000,
+        .flags = SUB_RESTART,
+        .task_count = job->tasks,
+        .tasks = list,
+        .name = FIRST_NAME + i,
+        .step_count = 1,
+        .steps = &step,
+        .max_attempts = 3,
+        .target_ms = 60,
+        .stretch_percent = 160,
+    };
+    for (uint32_t t = 0; t < job->tasks; t++) {
+        list[t] = (struct sub_task){.no = t, .run_ms = 300};
+    }
+    job->entry = entry;
+    job->resubmit_us = 0;
+    Ent_OnSubmit(&entry->entry, net.now, 1 + i, &sub);
+}
+
+/* The connections of callers to an entry break. */
+static void
+break_connections(const struct net_node *entry)
+{
+    for (int i = 0; i < JOBS; i++) {
+        if (jobs[i].entry == entry && !jobs[i].is_answered) {
+            jobs[i].entry = NULL;
+            jobs[i].resubmit_us = net.now.us + RESUBMIT_MS * US_PER_MS;
+        }
+    }
+}
+
+static void
+read_answers(void)
+{
+    for (uint32_t i = 0; i < net.reply_count; i++) {
+        struct job *job = &jobs[net.replies[i].conn - 1];
+        if (net.replies[i].code == CODE_OUTCOME_UNKNOWN) {
+            job->entry = NULL;
+            job->resubmit_us = net.now.us + RESUBMIT_MS * US_PER_MS;
+        }
+        else {
+            job->is_answered = 1;
+        }
+    }
+    net.reply_count = 0;
+    net.start_count = 0;
+}
+
+static const struct ag_task *
+task_of(const struct net_run *run)
+{
+    return run->node ? Tab_Get(&run->node->agent.tasks, run->task) : NULL;
+}
+
+static void
+check_no_task_runs_twice(uint64_t seed)
+{
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        const struct ag_task *task = task_of(&net.runs[i]);
+        for (int j = 0; task && j < i; j++) {
+            const struct ag_task *other = task_of(&net.runs[j]);
+            if (other && other->job_name == task->job_name &&
+                other->no == task->no) {
+                fail_msg("seed %llu: task %u of job %llu runs twice",
+                         (unsigned long long)seed, task->no,
+                         (unsigned long long)(task->job_name - FIRST_NAME));
+            }
+        }
+    }
+}
+
+static void
+pause_node(struct net_node *node, uint32_t ms)
+{
+    if (node->up && !node->paused) {
+        node->paused = 1;
+        paused_until_us[node - net.nodes] = net.now.us + ms * US_PER_MS;
+    }
+}
+
+static void
+restart_entry(int i)
+{
+    char name[WIRE_NAME_SIZE];
+    snprintf(name, sizeof(name), "%s", entries[i]->member.node);
+    break_connections(entries[i]);
+    Net_Kill(entries[i]);
+    net.dc = entries[i]->member.dc;
+    entries[i] = Net_AddEntry(&net, name);
+}
+
+/* A paused agent keeps its upstream's tasks running, and its lease ends them
+ * before an entry may place them again; the simulated upstream has no leases,
+ * so such pauses are shorter than one. */
+static void
+inject_fault(void)
+{
+    switch (draw(5)) {
+    case 0:
+        pause_node(entries[draw(ENTRIES)], 200 + draw(3000));
+        break;
+    case 1:
+        pause_node(agents[draw(AGENTS)], 50 + draw(500));
+        break;
+    case 2:
+        if (net.count < NET_MAX_NODES) {
+            restart_entry((int)draw(ENTRIES));
+        }
+        break;
+    case 3:
+        cut_entry = entries[draw(ENTRIES)];
+        cut_agent = agents[draw(AGENTS)];
+        break;
+    default:
+        loss_percent = draw(8);
+        break;
+    }
+}
+
+static void
+step_ms(uint64_t seed)
+{
+    Net_Run(&net, 1);
+    read_answers();
+    for (int i = 0; i < net.count; i++) {
+        struct net_node *node = &net.nodes[i];
+        if (node->paused && net.now.us >= paused_until_us[i]) {
+            node->paused = 0;
+        }
+    }
+    for (uint32_t i = 0; i < JOBS; i++) {
+        if (jobs[i].is_submitted && !jobs[i].is_answered &&
+            jobs[i].resubmit_us && net.now.us >= jobs[i].resubmit_us) {
+            submit(i);
+        }
+    }
+    check_no_task_runs_twice(seed);
+}
+
+static void
+run_seed(uint64_t seed)
+{
+    start_fleet(seed);
+    for (int i = 0; i < AGENTS; i++) {
+        agents[i]->run_ms = 100 + (int)draw(2400);
+    }
+    net.filter = lose_some;
+    for (uint32_t ms = 0; ms < FAULTS_MS; ms++) {
+        if (ms % JOB_INTERVAL_MS == 0) {
+            uint32_t i = ms / JOB_INTERVAL_MS;
+            jobs[i].tasks = 1 + draw(4);
+            submit(i);
+        }
+        if (ms % 200 == 0) {
+            inject_fault();
+        }
+        step_ms(seed);
+    }
+    loss_percent = 0;
+    cut_entry = cut_agent = NULL;
+    for (uint32_t ms = 0; ms < 30000; ms++) {
+        step_ms(seed);
+    }
+    for (uint32_t i = 0; i < JOBS; i++) {
+        if (!jobs[i].is_answered) {
+            fail_msg("seed %llu: job %u is not answered",
+                     (unsigned long long)seed, i);
+        }
+    }
+    net.filter = NULL;
+    Net_Finish(&net);
+}
+
+static void
+no_task_runs_twice_at_a_time(void **state)
+{
+    const char *count = getenv("SUBSET_SEEDS");
+    uint64_t seeds = count ? strtoull(count, NULL, 10) : SEEDS;
+    (void)state;
+    for (uint64_t seed = 1; seed <= seeds; seed++) {
+        run_seed(seed);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(no_task_runs_twice_at_a_time),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
