A restarted agent knows that its upstream is leaving

An agent restores its upstream from its row before the first heartbeat, up to 1.5 s. The saved state did not say that the upstream was leaving, so the restarted agent started tasks there until then. It is saved and restored now, one write when the state changes. scenarios/platform fails without it.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -255,7 +255,7 @@
 }
 
 static void
-on_ready(void *context)
+save_upstream(void *context)
 {
     struct agent_daemon *daemon = context;
     Reg_SetSavedState(&daemon->registry, Orders_SaveUpstream(&daemon->orders));
@@ -348,7 +348,7 @@
                         &daemon->core, &daemon->counters, err)) {
             return -1;
         }
-        daemon->orders.ready = on_ready;
+        daemon->orders.save_upstream = save_upstream;
         daemon->orders.context = daemon;
         daemon->registry.restore = on_saved_state;
         Reg_Step(&daemon->registry);
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -178,7 +178,7 @@
         Ag_OnAnnounce(orders->core, Loop_Now(),
                       &orders->heartbeat.announcement);
         Ag_BroadcastStatus(orders->core);
-        orders->ready(orders->context);
+        orders->save_upstream(orders->context);
         break;
     case RN_GONE:
         LOG_WARN("upstream", "Upstream is not usable. id=%s born_ms=%" PRIu64,
@@ -221,6 +221,11 @@
         if (heartbeat->announcement.leaving && !was_leaving) {
             Ag_BroadcastStatus(orders->core);
         }
+        if (heartbeat->announcement.leaving != was_leaving) {
+            /* A restarted process must not use an upstream that is leaving
+             * until the next heartbeat tells it so. */
+            orders->save_upstream(orders->context);
+        }
     }
 }
 
@@ -308,11 +313,12 @@
         json_array_append_new(names, json_string(labels->names[i]));
     }
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:o}", "id", heartbeat->id, "address",
-        heartbeat->address, "service", heartbeat->announcement.service,
-        "born_ms", (json_int_t)heartbeat->born_ms, "cpu", (json_int_t)all->cpu,
+        "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:o}", "id", heartbeat->id,
+        "address", heartbeat->address, "service",
+        heartbeat->announcement.service, "born_ms",
+        (json_int_t)heartbeat->born_ms, "cpu", (json_int_t)all->cpu,
         "memory_mb", (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu,
-        "labels", names);
+        "leaving", heartbeat->announcement.leaving, "labels", names);
 }
 
 void
@@ -328,11 +334,12 @@
     json_int_t cpu;
     json_int_t memory_mb;
     json_int_t gpu;
+    int leaving = 0;
     if (orders->has_heartbeat ||
-        json_unpack((json_t *)saved, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id",
+        json_unpack((json_t *)saved, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s?b}", "id",
                     &id, "address", &address, "service", &service, "born_ms",
                     &born_ms, "cpu", &cpu, "memory_mb", &memory_mb, "gpu",
-                    &gpu)) {
+                    &gpu, "leaving", &leaving)) {
         return;
     }
     snprintf(heartbeat.id, sizeof(heartbeat.id), "%s", id);
@@ -344,8 +351,10 @@
     {
         Labels_Add(&heartbeat.announcement.labels, json_string_value(label));
     }
-    LOG_INFO("upstream", "Upstream restored from the earlier process. id=%s",
-             heartbeat.id);
+    heartbeat.announcement.leaving = (uint8_t)leaving;
+    LOG_INFO("upstream",
+             "Upstream restored from the earlier process. id=%s leaving=%d",
+             heartbeat.id, leaving);
     handle_heartbeat(orders, &heartbeat);
 }
 
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -26,8 +26,9 @@
     char address[WIRE_ADDR_SIZE];
     int has_heartbeat;   /**< A heartbeat was received or restored. */
     double avg_reply_ms; /**< Moving average of the time to a reply. */
-    void (*ready)(void *context); /**< Called when the upstream is usable. */
-    void *context;                /**< Argument of `ready`. */
+    void (*save_upstream)(void *context); /**< Called when what is to be saved
+                                               of the upstream has changed. */
+    void *context;                        /**< Argument of `save_upstream`. */
 };
 
 /** Starts listening at the setting `listen_upstream` and initialises the
