--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -65,6 +65,11 @@
     uint64_t signature;   /**< Of the entries that the homes were chosen
                                from. */
     uint8_t is_stale;     /**< Agents were added or removed since. */
+    uint32_t choices;     /**< Number of times that it was chosen. */
+    uint32_t size;        /**< Agents in the subset. */
+    uint32_t homes;       /**< Home entries of each agent. */
+    uint32_t entries;     /**< Live entries, this one included. */
+    uint32_t agents;      /**< Agents known. */
     uint32_t link_budget; /**< Connections that may be opened before the next
                                scan. */
     uint64_t next_extend_us; /**< When the subset may next be extended. */
--- a/core/src/entry/subset.c
+++ b/core/src/entry/subset.c
@@ -220,10 +220,16 @@
     }
     entry->subset.is_stale = 0;
     entry->subset.signature = candidates.signature;
-    uint32_t homes = homes_per_agent(entry, &candidates);
+    entry->subset.choices++;
+    entry->subset.entries = candidates.count;
+    entry->subset.agents = candidates.agents;
+    entry->subset.homes = homes_per_agent(entry, &candidates);
+    entry->subset.size = 0;
     while ((peer = Tab_Next(&entry->peers, &slot))) {
         if (peer->member.role == ROLE_AGENT) {
-            peer->in_subset = (uint8_t)is_home(&candidates, homes, peer);
+            peer->in_subset =
+                (uint8_t)is_home(&candidates, entry->subset.homes, peer);
+            entry->subset.size += peer->in_subset;
         }
     }
 }
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -36,6 +36,8 @@
     struct control control;
     struct ingress ingress;
     uint64_t next_verify_us;
+    uint32_t logged_choices; /* Of the subset of agents. */
+    uint64_t next_subset_log_us;
     uint64_t drain_us; /* When the core starts to refuse new jobs, 0 for never;
                           platform adapter only. */
     struct stop stop;
@@ -203,6 +205,24 @@
         (unsigned)(pressure->late_us / US_PER_MS), daemon->core.open_jobs);
 }
 
+/* Members come one by one while the fleet starts: at most one line a second.
+ */
+static void
+log_subset(struct entry_daemon *daemon, struct now now)
+{
+    const struct ent_subset *subset = &daemon->core.subset;
+    if (subset->choices == daemon->logged_choices ||
+        now.us < daemon->next_subset_log_us) {
+        return;
+    }
+    daemon->logged_choices = subset->choices;
+    daemon->next_subset_log_us = now.us + US_PER_S;
+    LOG_INFO("entry",
+             "Subset of agents chosen. agents=%u known_agents=%u "
+             "homes_per_agent=%u live_entries=%u",
+             subset->size, subset->agents, subset->homes, subset->entries);
+}
+
 static void
 on_tick(void *context)
 {
@@ -211,6 +231,7 @@
     uint32_t refused_percent = daemon->core.pressure.refuse_percent;
     Ent_OnTick(&daemon->core, now);
     log_overload(daemon, refused_percent);
+    log_subset(daemon, now);
     if (Adapter_IsOn(daemon->settings)) {
         Ingress_OnTick(&daemon->ingress);
     }
