--- a/tests/caller.h
+++ b/tests/caller.h
@@ -65,6 +65,63 @@
     return node;
 }
 
+/** Add `worker_count` workers, then `entry_count` entries, in turn to three
+ * data centres. */
+NET_UNUSED static void
+Net_AddFleet(struct net *net, struct net_node **workers, int worker_count,
+             struct net_node **entries, int entry_count)
+{
+    static const char *const data_centres[] = {"erie", "huron", "ontario"};
+    char name[WIRE_NAME_SIZE];
+    for (int i = 0; i < worker_count; i++) {
+        net->dc = data_centres[i % 3];
+        snprintf(name, sizeof(name), "worker-%d", i);
+        workers[i] = Net_AddWorker(net, name);
+    }
+    for (int i = 0; i < entry_count; i++) {
+        net->dc = data_centres[i % 3];
+        snprintf(name, sizeof(name), "entry-%d", i);
+        entries[i] = Net_AddEntry(net, name);
+    }
+}
+
+/** A restartable job of one step. */
+struct net_job {
+    uint64_t name;
+    uint32_t tasks;
+    uint32_t cpu;    /**< Of each task, in thousandths of a core. */
+    uint32_t run_ms; /**< Declared run time of a task. */
+    uint32_t deadline_ms;
+};
+
+/** Submit a restartable job under a new key, which is returned. */
+NET_UNUSED static struct key
+Net_SubmitJob(struct net_node *entry, conn_id conn, const struct net_job *job)
+{
+    static struct sub_task list[WIRE_MAX_TASKS];
+    struct sub_step step = {.need = {job->cpu, 64, 0}};
+    struct submission sub = {
+        .key = Net_IssueKey(entry),
+        .service = "finishing",
+        .kind = "edge-check",
+        .deadline_ms = job->deadline_ms,
+        .flags = SUB_RESTART,
+        .task_count = job->tasks,
+        .tasks = list,
+        .name = job->name,
+        .step_count = 1,
+        .steps = &step,
+        .max_attempts = 3,
+        .target_ms = 60,
+        .stretch_percent = 160,
+    };
+    for (uint32_t i = 0; i < job->tasks; i++) {
+        list[i] = (struct sub_task){.no = i, .run_ms = job->run_ms};
+    }
+    Ent_OnSubmit(&entry->entry, entry->net->now, conn, &sub);
+    return sub.key;
+}
+
 /** The code of the latest answer on a connection, or CODE_PENDING if there is
  * none. */
 NET_UNUSED static enum code
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -29,30 +29,8 @@
 submit_to(struct net_node *node, conn_id conn, uint64_t name, uint32_t tasks,
           uint32_t cpu, uint32_t deadline_ms)
 {
-    static struct sub_task list[WIRE_MAX_TASKS];
-    struct sub_step step = {.need = {cpu, 64, 0}};
-    struct submission sub = {
-        .key = Net_IssueKey(node),
-        .service = "finishing",
-        .kind = "edge-check",
-        .deadline_ms = deadline_ms,
-        .flags = SUB_RESTART,
-        .task_count = tasks,
-        .tasks = list,
-        .name = name,
-        .step_count = 1,
-        .steps = &step,
-        .max_attempts = 3,
-        .target_ms = 60,
-        .stretch_percent = 160,
-    };
-    for (uint32_t i = 0; i < tasks; i++) {
-        list[i].no = i;
-        list[i].run_ms = 60;
-        list[i].input = (struct bytes){NULL, 0};
-    }
-    Ent_OnSubmit(&node->entry, net.now, conn, &sub);
-    return sub.key;
+    struct net_job job = {name, tasks, cpu, 60, deadline_ms};
+    return Net_SubmitJob(node, conn, &job);
 }
 
 static void
--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -5,29 +5,13 @@
 #define ENTRIES 12
 #define AGENTS 48
 #define SUBSET_SIZE 12
+#define FIRST_NAME 0x5c0e7a21d94b0000ull
 
-static const char *const data_centres[] = {"erie", "huron", "ontario"};
 static struct net net;
 static struct net_node *entries[ENTRIES];
 static struct net_node *agents[AGENTS];
 static uint32_t heartbeats;
 
-static void
-add_nodes(void)
-{
-    char name[WIRE_NAME_SIZE];
-    for (int i = 0; i < AGENTS; i++) {
-        net.dc = data_centres[i % 3];
-        snprintf(name, sizeof(name), "worker-%d", i);
-        agents[i] = Net_AddWorker(&net, name);
-    }
-    for (int i = 0; i < ENTRIES; i++) {
-        net.dc = data_centres[i % 3];
-        snprintf(name, sizeof(name), "entry-%d", i);
-        entries[i] = Net_AddEntry(&net, name);
-    }
-}
-
 static int
 set_up(void **state)
 {
@@ -35,7 +19,7 @@
     Net_InitRestartable(&net);
     net.subset_size = SUBSET_SIZE;
     net.peer_capacity = NET_MAX_NODES;
-    add_nodes();
+    Net_AddFleet(&net, agents, AGENTS, entries, ENTRIES);
     /* Connections made while the first entries knew of no others are closed
      * after some seconds without use. */
     Net_Run(&net, 12000);
@@ -104,28 +88,8 @@
 static void
 submit(struct net_node *entry, conn_id conn, uint32_t tasks, uint32_t cpu)
 {
-    static struct sub_task list[WIRE_MAX_TASKS];
-    struct sub_step step = {.need = {cpu, 64, 0}};
-    struct submission sub = {
-        .key = Net_IssueKey(entry),
-        .service = "finishing",
-        .kind = "edge-check",
-        .deadline_ms = 5000,
-        .flags = SUB_RESTART,
-        .task_count = tasks,
-        .tasks = list,
-        .name = 0x5c0e7a21d94b0000ull + conn,
-        .step_count = 1,
-        .steps = &step,
-        .max_attempts = 3,
-        .target_ms = 60,
-        .stretch_percent = 160,
-    };
-    for (uint32_t i = 0; i < tasks; i++) {
-        list[i].no = i;
-        list[i].run_ms = 500;
-    }
-    Ent_OnSubmit(&entry->entry, net.now, conn, &sub);
+    struct net_job job = {FIRST_NAME + conn, tasks, cpu, 500, 5000};
+    Net_SubmitJob(entry, conn, &job);
 }
 
 static uint32_t
--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -52,8 +52,6 @@
 static void
 start_fleet(uint64_t seed)
 {
-    static const char *const data_centres[] = {"erie", "huron", "ontario"};
-    char name[WIRE_NAME_SIZE];
     memset(jobs, 0, sizeof(jobs));
     memset(paused_until_us, 0, sizeof(paused_until_us));
     cut_entry = cut_agent = NULL;
@@ -61,52 +59,24 @@
     Net_InitRestartable(&net);
     net.subset_size = 4;
     net.peer_capacity = NET_MAX_NODES;
-    for (int i = 0; i < AGENTS; i++) {
-        net.dc = data_centres[i % 3];
-        snprintf(name, sizeof(name), "worker-%d", i);
-        agents[i] = Net_AddWorker(&net, name);
-    }
-    for (int i = 0; i < ENTRIES; i++) {
-        net.dc = data_centres[i % 3];
-        snprintf(name, sizeof(name), "entry-%d", i);
-        entries[i] = Net_AddEntry(&net, name);
-    }
+    Net_AddFleet(&net, agents, AGENTS, entries, ENTRIES);
     Net_Run(&net, 7000);
 }
 
 static void
 submit(uint32_t i)
 {
-    static struct sub_task list[4];
     struct job *job = &jobs[i];
-    struct sub_step step = {.need = {3000, 64, 0}};
     struct net_node *entry = entries[draw(ENTRIES)];
     job->is_submitted = 1;
     if (!entry->up || entry->paused) {
         job->resubmit_us = net.now.us + RESUBMIT_MS * US_PER_MS;
         return;
     }
-    struct submission sub = {
-        .key = Net_IssueKey(entry),
-        .service = "finishing",
-        .kind = "edge-check",
-        .deadline_ms = 8000,
-        .flags = SUB_RESTART,
-        .task_count = job->tasks,
-        .tasks = list,
-        .name = FIRST_NAME + i,
-        .step_count = 1,
-        .steps = &step,
-        .max_attempts = 3,
-        .target_ms = 60,
-        .stretch_percent = 160,
-    };
-    for (uint32_t t = 0; t < job->tasks; t++) {
-        list[t] = (struct sub_task){.no = t, .run_ms = 300};
-    }
     job->entry = entry;
     job->resubmit_us = 0;
-    Ent_OnSubmit(&entry->entry, net.now, 1 + i, &sub);
+    struct net_job submission = {FIRST_NAME + i, job->tasks, 3000, 300, 8000};
+    Net_SubmitJob(entry, 1 + i, &submission);
 }
 
 /* The connections of callers to an entry break. */
