--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -8,8 +8,10 @@
 #include "key_range.h"
 #include "subset.h"
 
-/* Entries to which heartbeats are sent in one round, about. */
+/* Approximate number of entries to which heartbeats are sent in one round. */
 #define ENTRIES_PER_ROUND 16
+/* Maximum number of rounds between two heartbeats to the same entry, so that
+ * several fit into PEER_TIMEOUT_US. */
 #define MAX_ROUNDS 3
 
 struct ent_peer *
@@ -26,9 +28,8 @@
     return peer->heard_us != 0 && now.us - peer->heard_us < PEER_TIMEOUT_US;
 }
 
-/* Entries exchange heartbeats with each other in one round of several, so that
- * their cost does not grow with the number of entries. It can be at most one
- * round in MAX_ROUNDS, for a failure to be noticed within PEER_TIMEOUT_US. */
+/* Number of rounds in which each other entry gets one heartbeat. With many
+ * entries it is more than one, to limit the cost of a round. */
 static uint32_t
 rounds_between_entries(const struct entry *entry)
 {
@@ -197,8 +198,8 @@
     }
 }
 
-/* What the registry says of an agent's upstream holds until the agent reports
- * on it. */
+/* Uses what the registry says of an agent's upstream, unless the agent itself
+ * has reported on it. */
 static void
 apply_saved_upstream(struct entry *entry, struct now now,
                      struct ent_peer *peer, const struct ent_member *member)
--- a/core/src/entry/subset.c
+++ b/core/src/entry/subset.c
@@ -25,8 +25,8 @@
 /* Agents linked in one extension, and the minimum interval between two. */
 #define EXTENSION_AGENTS 4
 #define EXTENSION_INTERVAL_US (20 * US_PER_MS)
-/* Connections opened per scan. Opening all at once would delay the jobs of an
- * entry with a small share of a core. */
+/* Connections opened per scan of the open jobs. Opening all at once would
+ * delay the jobs of an entry with a small share of a core. */
 #define LINKS_PER_SCAN 16
 /* Maximum number of entries that homes are chosen from. */
 #define MAX_CANDIDATES 256
@@ -87,7 +87,8 @@
     }
 }
 
-/* An entry that became known recently counts as alive before it is heard. */
+/* Lists the live entries. One that became known recently counts as alive
+ * before it is heard. */
 static void
 collect(const struct entry *entry, struct now now,
         struct candidates *candidates)
--- a/daemon/rows.c
+++ b/daemon/rows.c
@@ -333,10 +333,9 @@
            (Adapter_IsOn(control->settings) && peer->version_echo_us != 0);
 }
 
-/* Whether the peer lacks rows although it has had time to read them, by a
- * message that it sent after that time. Some entries relay first; the others
- * wait longer, as with many entries a row sent by all of them takes more
- * processor time than all other work. */
+/* Whether the peer still lacked rows after it had time to read them itself, by
+ * its latest message. Only a few entries relay at first: rows sent by all of
+ * many entries at once would take more processor time than the jobs. */
 static int
 is_relay_due(const struct control *control, struct now now,
              const struct ent_peer *peer)
