tests: upstreams of the simulated network hold leases

The rig had no leases, so it could not tell whether a second run at one time is a fault of the design or of the rig. Each agent now has the real runner, which grants the leases in its starts and polls. The upstream ends its runs when they expire on its own clock, which is 2% slow at half of them, or when their time is over, whether or not the agent is paused.

The check compares the job and task that were started, and no longer depends on the agent's records. Longest pauses of agents as before.

--- a/tests/caller.h
+++ b/tests/caller.h
@@ -141,7 +141,7 @@
 {
     uint32_t count = 0;
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
-        count += net->runs[i].node == node;
+        count += net->runs[i].node == node && !net->runs[i].is_over;
     }
     return count;
 }
--- a/tests/net.h
+++ b/tests/net.h
@@ -5,6 +5,7 @@
 #define TESTS_NET_H
 
 #include "net_nodes.h"
+#include "net_upstream.h"
 
 static void
 net_on_message(void *context, const struct frame_header *header,
@@ -120,10 +121,14 @@
             announce.slots = NET_MAX_RUNNING;
             announce.running = 0;
         }
-        if (net->now.us / 1000 % 500 == 0) {
+        int is_announcing = net->now.us / 1000 % 500 == 0;
+        if (is_announcing) {
             Ag_OnAnnounce(&node->agent, net->now, &announce);
         }
         Ag_OnTick(&node->agent, net->now);
+        if (net->lease_us) {
+            net_tick_upstream(node, is_announcing);
+        }
     }
 }
 
@@ -138,7 +143,12 @@
             net->now.wall++;
         }
         Net_Pump(net);
-        net_end_tasks(net);
+        if (net->lease_us) {
+            net_step_upstreams(net);
+        }
+        else {
+            net_end_tasks(net);
+        }
         if (net->now.us / 1000 % 10 == 0) {
             net_tick(net);
         }
@@ -161,6 +171,9 @@
         }
         else {
             Ag_Finish(&net->nodes[i].agent);
+            if (net->lease_us) {
+                Rn_Finish(&net->nodes[i].runner);
+            }
         }
     }
 }
--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -16,12 +16,16 @@
 
 #include "core/agent.h"
 #include "core/entry.h"
+#include "core/runner.h"
 #include "wire/frame.h"
 
 #define NET_MAX_NODES 80
 #define NET_MAX_STARTS 4096
 #define NET_MAX_REPLIES 256
 #define NET_MAX_RUNNING 256
+#define NET_MAX_ORDERS 64
+/** Start time of all upstreams, milliseconds since 1970. */
+#define NET_BORN_MS 7000
 #define NET_UNUSED __attribute__((unused))
 
 struct net;
@@ -29,6 +33,15 @@
 /** What a filter does with a message. */
 enum net_verdict { NET_PASS, NET_DROP, NET_DELAY };
 
+/** An order to an upstream that has been carried out, and its reply. */
+struct net_order {
+    enum rn_act_type type;
+    tab_handle run;
+    uint32_t poll;
+    enum rn_reply reply;
+    uint64_t due_us; /**< The reply is delivered after this. */
+};
+
 /** An entry, or an agent with its upstream. */
 struct net_node {
     struct net *net;
@@ -46,6 +59,12 @@
     struct labels labels;      /**< Of its upstream. */
     uint8_t linked[NET_MAX_NODES]; /**< Which nodes it has a connection to;
                                         messages to others are lost. */
+    /** Used if `net.lease_us` is not 0: */
+    struct runner runner;
+    uint64_t lease_end_ms; /**< Of all its runs, on the upstream's clock. */
+    uint64_t last_end;     /**< Number of the latest end listed. */
+    struct net_order orders[NET_MAX_ORDERS];
+    uint32_t order_count;
 };
 
 /** A frame that has been sent and not yet delivered. */
@@ -60,9 +79,15 @@
 struct net_run {
     struct net_node *node;
     tab_handle task;
+    uint64_t job_name; /**< The caller's name for the job. */
+    uint32_t no;       /**< Number of the task in the job. */
     uint64_t start_us;
     uint64_t end_us;
     int stopped;
+    /** Used if `net.lease_us` is not 0: */
+    struct rn_id id;
+    enum rn_outcome outcome;
+    int is_over; /**< It has ended, and the agent has not been told yet. */
 };
 
 /** A start of a task at an upstream. */
@@ -107,7 +132,9 @@
     struct timing timing;   /**< Of nodes added from now on; all 0: default. */
     int keep_heard_members; /**< Setting of entries added from now on. */
     uint32_t subset_size;   /**< The same. */
-    const char *dc; /**< Data centre of nodes added from now on, or NULL. */
+    uint64_t lease_us; /**< Longest lease at an upstream of agents added from
+                            now on; 0 for upstreams without leases. */
+    const char *dc;    /**< Data centre of nodes added from now on, or NULL. */
 };
 
 /** The node with this incarnation, or NULL. */
@@ -157,6 +184,30 @@
     net_append(verdict == NET_DELAY ? &net->delayed : &net->in_flight, frame);
 }
 
+static struct net_run *
+net_add_run(struct net_node *node, tab_handle task, uint64_t job_name,
+            uint32_t no)
+{
+    struct net *net = node->net;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        struct net_run *run = &net->runs[i];
+        if (!run->node) {
+            memset(run, 0, sizeof(*run));
+            run->node = node;
+            run->task = task;
+            run->job_name = job_name;
+            run->no = no;
+            run->start_us = net->now.us;
+            run->end_us = node->run_ms < 0
+                              ? UINT64_MAX
+                              : net->now.us + (uint64_t)node->run_ms * 1000;
+            return run;
+        }
+    }
+    fail_msg("more tasks running than NET_MAX_RUNNING");
+    return NULL;
+}
+
 static void
 net_run_task(struct net_node *node, const struct act_run *run)
 {
@@ -166,20 +217,26 @@
     start->seq = run->start->key.seq;
     start->task = run->start->task;
     start->node = node;
+    if (net->lease_us) {
+        Rn_Start(&node->runner, net->now, run->task, run->start);
+        return;
+    }
+    net_add_run(node, run->task, run->start->name, run->start->task);
+}
+
+static void
+net_stop_task(struct net_node *node, tab_handle task)
+{
+    struct net *net = node->net;
+    if (net->lease_us) {
+        Rn_Stop(&node->runner, net->now, task);
+        return;
+    }
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
-        struct net_run *slot = &net->runs[i];
-        if (!slot->node) {
-            slot->node = node;
-            slot->task = run->task;
-            slot->stopped = 0;
-            slot->start_us = net->now.us;
-            slot->end_us = node->run_ms < 0
-                               ? UINT64_MAX
-                               : net->now.us + (uint64_t)node->run_ms * 1000;
-            return;
+        if (net->runs[i].node == node && net->runs[i].task == task) {
+            net->runs[i].stopped = 1;
         }
     }
-    fail_msg("more tasks running than NET_MAX_RUNNING");
 }
 
 static void
@@ -204,12 +261,7 @@
         net_run_task(node, &act->u.run);
         break;
     case ACT_STOP:
-        for (int i = 0; i < NET_MAX_RUNNING; i++) {
-            if (net->runs[i].node == node &&
-                net->runs[i].task == act->u.stop.task) {
-                net->runs[i].stopped = 1;
-            }
-        }
+        net_stop_task(node, act->u.stop.task);
         break;
     case ACT_REPLY: {
         const struct answer *answer = act->u.reply.answer;
@@ -341,6 +393,8 @@
     return node;
 }
 
+static void net_add_upstream(struct net_node *node);
+
 /** Add an agent without a registry row. */
 NET_UNUSED static struct net_node *
 Net_AddAgentUnregistered(struct net *net, const char *name)
@@ -356,6 +410,9 @@
     struct act_sink sink = {net_emit, node};
     assert_int_equal(Ag_Init(&node->agent, &settings, sink, &net->counters),
                      0);
+    if (net->lease_us) {
+        net_add_upstream(node);
+    }
     return node;
 }
 
--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -65,6 +65,7 @@
     random_state = seed;
     Net_InitRestartable(&net);
     net.subset_size = 4;
+    net.lease_us = LEASE_MS * US_PER_MS;
     net.peer_capacity = NET_MAX_NODES;
     Net_AddFleet(&net, agents, AGENTS, entries, ENTRIES);
     Net_Run(&net, 7000);
@@ -115,24 +116,24 @@
     net.start_count = 0;
 }
 
-static const struct ag_task *
-task_of(const struct net_run *run)
+static int
+is_running(const struct net_run *run)
 {
-    return run->node ? Tab_Get(&run->node->agent.tasks, run->task) : NULL;
+    return run->node && !run->is_over;
 }
 
 static void
 check_no_task_runs_twice(uint64_t seed)
 {
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
-        const struct ag_task *task = task_of(&net.runs[i]);
-        for (int j = 0; task && j < i; j++) {
-            const struct ag_task *other = task_of(&net.runs[j]);
-            if (other && other->job_name == task->job_name &&
-                other->no == task->no) {
+        const struct net_run *run = &net.runs[i];
+        for (int j = 0; is_running(run) && j < i; j++) {
+            const struct net_run *other = &net.runs[j];
+            if (is_running(other) && other->job_name == run->job_name &&
+                other->no == run->no) {
                 fail_msg("seed %llu: task %u of job %llu runs twice",
-                         (unsigned long long)seed, task->no,
-                         (unsigned long long)(task->job_name - FIRST_NAME));
+                         (unsigned long long)seed, run->no,
+                         (unsigned long long)(run->job_name - FIRST_NAME));
             }
         }
     }
@@ -169,9 +170,6 @@
     entries[i] = Net_AddEntry(&net, name);
 }
 
-/* A paused agent keeps its upstream's tasks running, and its lease ends them
- * before an entry may place them again; the simulated upstream has no leases,
- * so such pauses are shorter than one. */
 static void
 inject_fault(void)
 {
