http: log and count requests that are read after their client has left

What a client sent stays readable after it has closed or reset its connection, so a server that is late reads and handles requests that nobody waits for. The log did not tell such a request from another one. Before the handler is called poll() with POLLRDHUP now asks whether the connection still stands; if not, the request is counted in requests_abandoned and logged. It is handled as before.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -9,6 +9,7 @@
 /* X(name, description). The name is the metric's name after "jacinthpick_". */
 #define COUNTER_TABLE(X)                                                      \
     X(http_requests, "HTTP requests received")                                \
+    X(requests_abandoned, "HTTP requests read after their client had left")   \
     X(jobs_submitted, "jobs accepted by this entry as owner")                 \
     X(jobs_complete, "jobs answered complete")                                \
     X(jobs_failed, "jobs answered as failed")                                 \
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -1,5 +1,7 @@
 #include "shell/httpd.h"
 
+#include <errno.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -166,9 +168,35 @@
     return *end || size < 0 ? -1 : size;
 }
 
+/* Returns 1 if the client has closed or reset its connection. What it sent
+ * before stays readable, so that a request may be read after that. */
+static int
+has_client_left(struct lws *wsi)
+{
+    struct pollfd network = {
+        .fd = lws_get_socket_fd(lws_get_network_wsi(wsi)),
+        .events = POLLRDHUP,
+    };
+    if (poll(&network, 1, 0) < 0) {
+        LOG_WARN("http",
+                 "Connection could not be checked and counts as open. "
+                 "fault=\"%s\"",
+                 strerror(errno));
+        return 0;
+    }
+    return network.revents != 0;
+}
+
 static void
 dispatch(struct httpd *httpd, struct conn *conn)
 {
+    if (has_client_left(conn->wsi)) {
+        CTR_INC(httpd->counters, requests_abandoned);
+        LOG_INFO("http",
+                 "Request was read after its client had left and is handled. "
+                 "path=%.64s",
+                 conn->request.path);
+    }
     if (conn->too_large) {
         Hs_ReplyJson(httpd, conn->request.conn, 413,
                      "{\"code\":1004,\"name\":\"BODY_TOO_LARGE\","
