http: do not act on a request whose client has left

Callers saw one task run at two upstreams at once (TWICE). A request's bytes stay readable after its connection was closed or reset. An entry that was a few milliseconds late read such a request and started its job, while the caller, whose request had not been read, had sent it to another entry at once.

After the whole request is read and directly before the handler is called, a server now drops it if the client has closed or reset the connection, counts it and closes the connection. This holds for callers, /v1 and operators. The agent's servers set handle_abandoned: a heartbeat is a report, which stays true when its sender no longer waits. The stand-in of the store sets it too, as the platform's store may carry out a call that gets no response.

A client that ends its stream before its request is read counts as one that has left. It got no answer before either: its request was handled, and libwebsockets closed the connection on the end of the stream.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -339,6 +339,8 @@
                 NULL, on_request, NULL, daemon, &daemon->counters, err)) {
         return -1;
     }
+    /* An announcement stays true when its sender no longer waits. */
+    daemon->httpd.handle_abandoned = 1;
     Reg_Init(&daemon->registry, &daemon->store, settings, incarnation,
              on_registered, daemon);
     daemon->registry.restore_row = Adapter_IsOn(settings);
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -291,6 +291,9 @@
                 on_request, NULL, orders, counters, err)) {
         return -1;
     }
+    /* A heartbeat stays true when its sender no longer waits; an outdated one
+     * is recognised by its sequence number. */
+    orders->httpd.handle_abandoned = 1;
     return 0;
 }
 
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -34,7 +34,10 @@
     struct bytes body;
 };
 
-/** Called for each request whose body is within the limit. */
+/** Called for each request whose body is within the limit and, unless
+ * httpd.handle_abandoned is set, whose client had not closed or reset the
+ * connection before the call. A client that has ended its stream counts as one
+ * that has left, even if it still reads. */
 typedef void hs_handler(void *context, const struct hs_request *request);
 
 /** Called when an answer has been written to its connection. `user` points to
@@ -55,6 +58,9 @@
     uint32_t max_body;      /**< Limit of a request's body in bytes, at first
                                  HS_MAX_BODY. Larger ones are answered 413. */
     int close_after_reply;  /**< Each answer closes its connection. */
+    int handle_abandoned;   /**< Requests of clients that have left are handled
+                                 too: for requests that report something and
+                                 order nothing. */
     uint32_t server_id;     /**< 0 to 7, unique among the servers of a process;
                                  part of each connection's identifier. */
     hs_closed *closed;      /**< NULL for none. */
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -187,25 +187,33 @@
     return network.revents != 0;
 }
 
-static void
-dispatch(struct httpd *httpd, struct conn *conn)
+/* Calls the handler. Returns -1 if the connection is to be closed instead,
+ * because the client has left: it has sent its request elsewhere by now. */
+static int
+dispatch(struct httpd *httpd, struct session *session, struct conn *conn)
 {
     if (has_client_left(conn->wsi)) {
         CTR_INC(httpd->counters, requests_abandoned);
         LOG_INFO("http",
-                 "Request was read after its client had left and is handled. "
+                 "Request was read after its client had left and is %s. "
                  "path=%.64s",
+                 httpd->handle_abandoned ? "handled" : "dropped",
                  conn->request.path);
+        if (!httpd->handle_abandoned) {
+            drop_conn(httpd, session);
+            return -1;
+        }
     }
     if (conn->too_large) {
         Hs_ReplyJson(httpd, conn->request.conn, 413,
                      "{\"code\":1004,\"name\":\"BODY_TOO_LARGE\","
                      "\"run\":\"not run\"}");
-        return;
+        return 0;
     }
     conn->request.body.data = conn->body;
     conn->request.body.size = (uint32_t)conn->body_size;
     httpd->handler(httpd->context, &conn->request);
+    return 0;
 }
 
 static int
@@ -227,13 +235,9 @@
     long size = content_length(wsi);
     if (size < 0 || size > (long)httpd->max_body) {
         conn->too_large = 1;
-        dispatch(httpd, conn);
-        return 0;
-    }
-    if (size == 0) {
-        dispatch(httpd, conn);
+        return dispatch(httpd, session, conn);
     }
-    return 0;
+    return size == 0 ? dispatch(httpd, session, conn) : 0;
 }
 
 static int
@@ -378,10 +382,7 @@
     case LWS_CALLBACK_HTTP_BODY_COMPLETION: {
         struct conn *conn = Tab_Get(&httpd->conns, session->conn);
         lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-        if (conn && !conn->reply) {
-            dispatch(httpd, conn);
-        }
-        return 0;
+        return conn && !conn->reply ? dispatch(httpd, session, conn) : 0;
     }
     case LWS_CALLBACK_HTTP_WRITEABLE:
         return on_writable(httpd, wsi, session);
--- a/standins/tablestore.c
+++ b/standins/tablestore.c
@@ -314,6 +314,8 @@
         LOG_ERROR("tablestore", "Table service cannot start: %s.", err.text);
         return 1;
     }
+    /* The platform's store may perform a call that gets no response. */
+    store.httpd.handle_abandoned = 1;
     Loop_Run(&store.loop);
     return 0;
 }
--- /dev/null
+++ b/tests/test_httpd.c
@@ -0,0 +1,384 @@
+/* Requests that reach the HTTP server before or after their client has left.
+ * What a client sent stays readable after it has closed or reset its
+ * connection; it then sends the same request elsewhere. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cmocka.h>
+
+#include "shell/httpd.h"
+
+#define PORT 20700
+#define MAX_HANDLED 8
+/* Time after which the test is considered hung. */
+#define TIMEOUT_S 300
+
+#define HEADERS(path, size)                                                   \
+    "POST " path " HTTP/1.1\r\nHost: a.example\r\nContent-Length: " size      \
+    "\r\n\r\n"
+#define GET(path) "GET " path " HTTP/1.1\r\nHost: a.example\r\n\r\n"
+/* Path of the requests that show how far the server has come. */
+#define PROBE "/probe"
+#define BODY "{\"steps\":[]}"
+#define POST(path) HEADERS(path, "12") BODY
+
+/* How a client leaves. */
+enum leave { STAY, CLOSE, RESET, CLOSE_WRITING };
+
+static struct loop loop;
+static struct httpd server;
+static struct counters counters;
+static char listen_addr[32];
+static char handled[MAX_HANDLED][HS_PATH_SIZE];
+static int handled_count;
+static int answered_count;
+static int probes_answered;
+static int closed_count;
+
+static void
+on_request(void *context, const struct hs_request *request)
+{
+    static const int is_probe = 1;
+    (void)context;
+    if (strcmp(request->path, PROBE) == 0) {
+        Hs_SetUser(&server, request->conn, &is_probe, sizeof(is_probe));
+    }
+    else {
+        assert_true(handled_count < MAX_HANDLED);
+        memcpy(handled[handled_count++], request->path, HS_PATH_SIZE);
+    }
+    assert_int_equal(
+        Hs_ReplyJson(&server, request->conn, 200, "{\"state\":\"queued\"}"),
+        0);
+}
+
+static void
+on_sent(void *context, conn_id conn, const void *user)
+{
+    int is_probe;
+    (void)context;
+    (void)conn;
+    memcpy(&is_probe, user, sizeof(is_probe));
+    if (is_probe) {
+        probes_answered++;
+    }
+    else {
+        answered_count++;
+    }
+}
+
+static void
+on_closed(void *context, conn_id conn, const void *user)
+{
+    (void)context;
+    (void)conn;
+    (void)user;
+    closed_count++;
+}
+
+static int
+set_up(void **state)
+{
+    static int round;
+    struct err err = {0};
+    /* Each process has an address of its own, so that copies of this test can
+     * run at the same time. */
+    unsigned pid = (unsigned)getpid();
+    (void)state;
+    alarm(TIMEOUT_S);
+    memset(&counters, 0, sizeof(counters));
+    memset(handled, 0, sizeof(handled));
+    handled_count = 0;
+    answered_count = 0;
+    probes_answered = 0;
+    closed_count = 0;
+    snprintf(listen_addr, sizeof(listen_addr), "127.%u.%u.%u:%d",
+             1 + (pid >> 16 & 63), pid >> 8 & 255, 1 + (pid & 255) % 254,
+             PORT + round++);
+    assert_int_equal(Loop_Init(&loop, &err), 0);
+    assert_int_equal(Hs_Init(&server, &loop, listen_addr, NULL, NULL,
+                             on_request, on_sent, NULL, &counters, &err),
+                     0);
+    server.closed = on_closed;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    Loop_Finish(&loop);
+    Hs_Finish(&server);
+    alarm(0);
+    return 0;
+}
+
+static int
+open_client(void)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET};
+    char host[HS_HEADER_SIZE];
+    int port;
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_true(fd >= 0);
+    assert_int_equal(Hs_SplitAddr(listen_addr, host, sizeof(host), &port), 0);
+    assert_int_equal(inet_pton(AF_INET, host, &addr.sin_addr), 1);
+    addr.sin_port = htons((uint16_t)port);
+    assert_int_equal(setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)),
+                     0);
+    assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+    return fd;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
+}
+
+static void
+leave(int fd, enum leave how)
+{
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    switch (how) {
+    case STAY:
+        return;
+    case CLOSE_WRITING:
+        assert_int_equal(shutdown(fd, SHUT_WR), 0);
+        return;
+    case RESET:
+        assert_int_equal(
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)), 0);
+        break;
+    case CLOSE:
+        break;
+    }
+    close(fd);
+}
+
+/* Runs the server until it has answered `count` requests other than probes. */
+static void
+run_until_answered(int count)
+{
+    while (answered_count < count) {
+        assert_true(lws_service(loop.lws, 0) >= 0);
+    }
+}
+
+/* Runs the server until the requests of two clients that came later, one after
+ * the other, are answered, so that all that came before has been read. */
+static void
+run_server(void)
+{
+    for (int i = 0; i < 2; i++) {
+        int before = probes_answered;
+        int fd = open_client();
+        send_text(fd, GET(PROBE));
+        while (probes_answered == before) {
+            assert_true(lws_service(loop.lws, 0) >= 0);
+        }
+        close(fd);
+    }
+}
+
+static const enum leave ways_to_leave[] = {CLOSE, RESET};
+#define LEAVE_COUNT (sizeof(ways_to_leave) / sizeof(ways_to_leave[0]))
+
+static void
+a_request_of_a_closed_connection_is_not_handled(void **state)
+{
+    static const char *const requests[] = {
+        POST("/job"),
+        GET("/job"),
+        "DELETE /job HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        HEADERS("/job", "99999999"),
+    };
+    uint32_t slot = 0;
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        for (size_t i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
+            int fd = open_client();
+            send_text(fd, requests[i]);
+            leave(fd, ways_to_leave[how]);
+            run_server();
+            assert_int_equal(handled_count, 0);
+            assert_int_equal(counters.value[CTR_requests_abandoned],
+                             how * 4 + i + 1);
+        }
+    }
+    /* A handler that was not called hears nothing of the connection. */
+    assert_int_equal(closed_count, 0);
+    assert_null(Tab_Next(&server.conns, &slot));
+}
+
+static void
+a_request_in_two_segments_of_a_closed_connection_is_not_handled(void **state)
+{
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        for (int headers_are_read = 0; headers_are_read < 2;
+             headers_are_read++) {
+            int fd = open_client();
+            send_text(fd, HEADERS("/job", "12"));
+            if (headers_are_read) {
+                run_server();
+            }
+            send_text(fd, BODY);
+            leave(fd, ways_to_leave[how]);
+            run_server();
+            assert_int_equal(handled_count, 0);
+        }
+    }
+    assert_int_equal(counters.value[CTR_requests_abandoned], 4);
+}
+
+/* The first request has been answered when the second one is sent. */
+static void
+a_later_request_of_a_closed_connection_is_not_handled(void **state)
+{
+    char answer[512];
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        handled_count = 0;
+        send_text(fd, POST("/first"));
+        run_until_answered(answered_count + 1);
+        assert_true(recv(fd, answer, sizeof(answer), 0) > 0);
+        send_text(fd, POST("/second"));
+        leave(fd, ways_to_leave[how]);
+        run_server();
+        assert_int_equal(handled_count, 1);
+        assert_string_equal(handled[0], "/first");
+    }
+    assert_int_equal(counters.value[CTR_requests_abandoned], 2);
+}
+
+static void
+pipelined_requests_of_a_closed_connection_are_not_handled(void **state)
+{
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        send_text(fd, POST("/first") GET("/second"));
+        leave(fd, ways_to_leave[how]);
+        run_server();
+        assert_int_equal(handled_count, 0);
+    }
+}
+
+/* The second request waits, read, until the first one is answered; its client
+ * leaves meanwhile. */
+static void
+a_pipelined_request_is_not_handled_once_its_client_has_left(void **state)
+{
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        handled_count = 0;
+        send_text(fd, POST("/first") GET("/second"));
+        while (handled_count == 0) {
+            assert_true(lws_service(loop.lws, 0) >= 0);
+        }
+        assert_int_equal(handled_count, 1);
+        leave(fd, ways_to_leave[how]);
+        run_server();
+        assert_int_equal(handled_count, 1);
+    }
+}
+
+static void
+requests_of_open_connections_are_handled(void **state)
+{
+    int whole = open_client();
+    int parts = open_client();
+    (void)state;
+    send_text(whole, POST("/whole"));
+    run_server();
+    send_text(parts, HEADERS("/parts", "12"));
+    run_server();
+    send_text(parts, BODY);
+    run_server();
+    assert_int_equal(handled_count, 2);
+    assert_string_equal(handled[0], "/whole");
+    assert_string_equal(handled[1], "/parts");
+    assert_int_equal(counters.value[CTR_requests_abandoned], 0);
+    close(whole);
+    close(parts);
+}
+
+static void
+pipelined_requests_of_an_open_connection_are_handled(void **state)
+{
+    int fd = open_client();
+    (void)state;
+    send_text(fd, POST("/first") GET("/second") GET("/third"));
+    run_until_answered(3);
+    assert_int_equal(handled_count, 3);
+    assert_string_equal(handled[0], "/first");
+    assert_string_equal(handled[1], "/second");
+    assert_string_equal(handled[2], "/third");
+    assert_int_equal(counters.value[CTR_requests_abandoned], 0);
+    close(fd);
+}
+
+/* The end of a client's stream tells nothing of whether it still reads, and
+ * callers of HTTP keep theirs open until they have their answer. */
+static void
+a_client_that_ends_its_stream_has_left(void **state)
+{
+    char answer[512];
+    int fd = open_client();
+    (void)state;
+    send_text(fd, POST("/job"));
+    leave(fd, CLOSE_WRITING);
+    run_server();
+    assert_int_equal(handled_count, 0);
+    assert_int_equal(counters.value[CTR_requests_abandoned], 1);
+    assert_int_equal(recv(fd, answer, sizeof(answer), 0), 0);
+    close(fd);
+}
+
+/* A report, such as a heartbeat, stays true when its sender no longer waits. */
+static void
+a_server_of_reports_handles_those_of_closed_connections(void **state)
+{
+    (void)state;
+    server.handle_abandoned = 1;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        handled_count = 0;
+        send_text(fd, POST("/report"));
+        leave(fd, ways_to_leave[how]);
+        run_server();
+        assert_int_equal(handled_count, 1);
+        assert_string_equal(handled[0], "/report");
+    }
+    assert_int_equal(counters.value[CTR_requests_abandoned], 2);
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        TEST(a_request_of_a_closed_connection_is_not_handled),
+        TEST(a_request_in_two_segments_of_a_closed_connection_is_not_handled),
+        TEST(a_later_request_of_a_closed_connection_is_not_handled),
+        TEST(pipelined_requests_of_a_closed_connection_are_not_handled),
+        TEST(a_pipelined_request_is_not_handled_once_its_client_has_left),
+        TEST(requests_of_open_connections_are_handled),
+        TEST(pipelined_requests_of_an_open_connection_are_handled),
+        TEST(a_client_that_ends_its_stream_has_left),
+        TEST(a_server_of_reports_handles_those_of_closed_connections),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
