Agents log the cancellations that reach them

An agent with tasks of the job now writes one line a job, with the tasks that it stops and the entry that sent the cancellation. The name of a job is recorded with each of its tasks, also with held and refused ones, so that the line has it.

Test: a_cancellation_is_logged_once.

--- a/core/include/core/act.h
+++ b/core/include/core/act.h
@@ -33,8 +33,10 @@
     LOG_EVENT_RETRIED, /**< A task is put back into the queue. */
     LOG_EVENT_LATE, /**< A job can no longer meet its target response time. */
     LOG_EVENT_LOST, /**< The agent of a task has left or timed out. */
-    LOG_EVENT_ORPHANED, /**< A task is ended because its entry timed out. */
-    LOG_EVENT_REFUSED,  /**< An agent refuses a start. */
+    LOG_EVENT_ORPHANED,  /**< A task is ended because its entry timed out. */
+    LOG_EVENT_REFUSED,   /**< An agent refuses a start. */
+    LOG_EVENT_CANCELLED, /**< A cancellation arrives at an agent that has
+                              tasks of the job. */
 };
 
 /** A scheduling decision and the state that it was based on. */
@@ -49,6 +51,8 @@
     uint32_t free_cpu; /**< Free thousandths of a core at the upstream, as
                           known here. */
     uint32_t waiting;  /**< Tasks of the service queued here. */
+    uint32_t running;  /**< LOG_EVENT_CANCELLED: tasks of the job that run or
+                          are held. */
 };
 
 /** Send a message. Messages to the same peer are batched into frames. */
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -256,7 +256,7 @@
         Agi_OnFence(agent, now, header->from, &msg->u.fence);
         break;
     case MSG_CANCEL:
-        Agi_OnCancel(agent, now, &msg->u.cancel);
+        Agi_OnCancel(agent, now, entry, &msg->u.cancel);
         break;
     case MSG_RESULT_ACK:
         Agi_OnResultAck(agent, &msg->u.result_ack);
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -195,8 +195,9 @@
 void Agi_OnFence(struct agent *agent, struct now now, uint64_t from,
                  const struct msg_fence *fence);
 
-/** Handle the cancellation of a job. */
+/** Handle the cancellation of a job, sent by `entry`. */
 void Agi_OnCancel(struct agent *agent, struct now now,
+                  const struct ag_entry *entry,
                   const struct msg_cancel *cancel);
 
 /** Handle the notice that the caller has read the answer: free the outputs. */
--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -99,8 +99,23 @@
     Act_Emit(&agent->sink, &act);
 }
 
+/* The caller's name is known only of a job that has a task here. */
+static void
+log_cancel(struct agent *agent, const struct ag_entry *entry,
+           const struct ag_job *job)
+{
+    if (!job->tasks || !job->tasks->job_name) {
+        return;
+    }
+    struct act_log_event event = {.type = LOG_EVENT_CANCELLED,
+                                  .job = job->tasks->job_name,
+                                  .running = job->running,
+                                  .node = entry->addr};
+    Act_LogEvent(&agent->sink, &event);
+}
+
 void
-Agi_OnCancel(struct agent *agent, struct now now,
+Agi_OnCancel(struct agent *agent, struct now now, const struct ag_entry *entry,
              const struct msg_cancel *cancel)
 {
     if (Agi_AdoptEpoch(agent, now, cancel->key.issuer, cancel->epoch) !=
@@ -112,6 +127,9 @@
     if (!job) {
         return;
     }
+    if (!job->cancelled) {
+        log_cancel(agent, entry, job);
+    }
     job->cancelled = 1;
     Agi_RevokeJob(agent, job);
     for (struct ag_task *task = job->tasks; task; task = task->next) {
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -139,7 +139,6 @@
     task->code = CODE_OK;
     task->flags = start->flags;
     task->need = start->need;
-    task->job_name = start->name;
     task->lease_end_us = now.us + start->lease_ms * US_PER_MS;
     if (start->flags & SUB_REQUEST) {
         agent->requests++;
@@ -165,7 +164,13 @@
         return NULL;
     }
     struct ag_task *task = Agi_FindTask(job, start->task);
-    return task ? task : Agi_AddTask(agent, job, start->task);
+    if (!task) {
+        task = Agi_AddTask(agent, job, start->task);
+    }
+    if (task) {
+        task->job_name = start->name;
+    }
+    return task;
 }
 
 /* Handle a start whose key is accepted and whose task may be run: run it, hold
--- a/daemon/log_event.c
+++ b/daemon/log_event.c
@@ -19,6 +19,8 @@
         return "Task stopped: its entry is silent.";
     case LOG_EVENT_REFUSED:
         return "Agent refused to start a task.";
+    case LOG_EVENT_CANCELLED:
+        return "Job cancelled: its tasks are stopped.";
     }
     return "";
 }
@@ -26,6 +28,12 @@
 void
 LogEvent_Write(const char *part, const struct act_log_event *event)
 {
+    if (event->type == LOG_EVENT_CANCELLED) {
+        LOG_INFO(part, "%s job=%016" PRIx64 " running=%u node=%s",
+                 describe(event->type), event->job, event->running,
+                 event->node ? event->node : "");
+        return;
+    }
     LOG_INFO(part,
              "%s job=%016" PRIx64 " task=%u attempt=%u code=%s node=%s "
              "heard_ms_ago=%" PRIu64 " free_cpu=%u waiting=%u",
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -11,11 +11,19 @@
 static struct msg_fenced fenced;
 static uint32_t results;
 static uint32_t task_records;
+static struct act_log_event cancelled;
+static uint32_t cancelled_events;
 
-/* Records the messages that the agent sends. */
+/* Records the messages that the agent sends, and the cancellations that it
+ * logs. */
 static void
 capture(void *context, const struct act *act)
 {
+    if (act->type == ACT_LOG_EVENT &&
+        act->u.log_event.type == LOG_EVENT_CANCELLED) {
+        cancelled = act->u.log_event;
+        cancelled_events++;
+    }
     if (act->type != ACT_SEND) {
         net_emit(context, act);
         return;
@@ -40,6 +48,7 @@
     node->agent.sink.emit = capture;
     results = 0;
     task_records = 0;
+    cancelled_events = 0;
     Net_Run(&net, 500);
     return 0;
 }
@@ -386,6 +395,27 @@
     assert_int_equal(result.code, CODE_NO_SLOT);
 }
 
+static void
+a_cancellation_is_logged_once(void **state)
+{
+    (void)state;
+    struct msg cancel = {.type = MSG_CANCEL};
+    node->run_ms = -1;
+    for (uint32_t task = 1; task <= 3; task++) {
+        struct msg start = make_start(1, task, 1);
+        start.u.start.flags = SUB_RESTART;
+        start.u.start.name = 0x4692dca03af585dbull;
+        deliver(&start);
+    }
+    cancel.u.cancel.key = make_start(1, 1, 1).u.start.key;
+    cancel.u.cancel.epoch = (struct epoch){1, 500};
+    deliver(&cancel);
+    deliver(&cancel);
+    assert_int_equal(cancelled_events, 1);
+    assert_int_equal(cancelled.job, 0x4692dca03af585dbull);
+    assert_int_equal(cancelled.running, 3);
+}
+
 #define AGENT_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, Net_TearDown)
 
 int
@@ -408,6 +438,7 @@
         AGENT_TEST(requests_do_not_count_as_untracked_tasks),
         AGENT_TEST(tasks_from_before_this_process_take_slots),
         AGENT_TEST(requests_are_limited_by_connections),
+        AGENT_TEST(a_cancellation_is_logged_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
