Cancellations are sent again after 50 ms

The first repetition came 100 to 200 ms after the cancellation, as a round leaves out what was cancelled since the last one. A stop takes 37 ms (median) to 74 ms, so most cancellations are still confirmed before they are sent again.

--- a/core/src/entry/cancel.c
+++ b/core/src/entry/cancel.c
@@ -13,7 +13,7 @@
 
 /* Interval at which unconfirmed cancellations are sent again. One timer serves
  * them all, so that an agent gets one frame for many of them. */
-#define CANCEL_RESEND_US (100 * US_PER_MS)
+#define CANCEL_RESEND_US (50 * US_PER_MS)
 
 static int
 make_cancel(const struct entry *entry, const struct ent_job *job,
