--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -228,6 +228,36 @@
     assert_int_equal(agent->agent.entries.used, known);
 }
 
+static enum net_verdict
+drop_all_cancels(struct net *n, const struct net_node *from,
+                 const struct net_node *to, const struct msg *msg)
+{
+    (void)n;
+    (void)from;
+    (void)to;
+    return msg->type == MSG_CANCEL ? NET_DROP : NET_PASS;
+}
+
+/* A cancellation cannot be sent again on a link that is closed as unused. */
+static void
+a_link_with_an_unconfirmed_cancellation_is_kept(void **state)
+{
+    struct net_job job = {FIRST_NAME, SUBSET_SIZE * 2, 8000, 500, 20000};
+    (void)state;
+    for (int i = 0; i < AGENTS; i++) {
+        agents[i]->run_ms = -1;
+    }
+    Net_SubmitJob(entries[0], 1, &job);
+    Net_Run(&net, 6000);
+    assert_int_equal(count_running(), SUBSET_SIZE * 2);
+    net.filter = drop_all_cancels;
+    Ent_CancelJobByName(&entries[0]->entry, FIRST_NAME);
+    Net_Run(&net, 800);
+    net.filter = NULL;
+    Net_Run(&net, 150);
+    assert_int_equal(count_running(), 0);
+}
+
 static void
 a_job_that_only_an_unlinked_agent_could_run_is_admitted(void **state)
 {
@@ -268,6 +298,7 @@
         SUBSET_TEST(a_dead_home_is_replaced),
         SUBSET_TEST(an_agent_with_a_task_stays_linked),
         SUBSET_TEST(a_last_heartbeat_does_not_drop_an_entry_with_tasks),
+        SUBSET_TEST(a_link_with_an_unconfirmed_cancellation_is_kept),
         SUBSET_TEST(a_job_that_only_an_unlinked_agent_could_run_is_admitted),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
