A run of an expired key is stopped by its cancellation

An agent that needs space for records removes those of the oldest keys that have no run, and refuses all keys up to the latest one removed. It also ignored cancellations of these keys, although a run of one may go on: the cancellation was then the only message to end it, and was lost at the agent.

The agent now ignores no cancellation for its key's age. Of an unknown key it has nothing to record, and confirms.

Tests in test_agent, which failed before: a_run_of_an_expired_key_is_stopped_by_ its_cancellation, a_cancellation_of_an_unknown_expired_key_is_confirmed.

--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -135,11 +135,16 @@
              const struct msg_cancel *cancel)
 {
     if (Agi_AdoptEpoch(agent, now, cancel->key.issuer, cancel->epoch) !=
-            CODE_OK ||
-        cancel->key.issued_s <= agent->expired_until_s) {
+        CODE_OK) {
         return;
     }
-    struct ag_job *job = Agi_AddJob(agent, &cancel->key);
+    struct ag_job *job = Agi_FindJob(agent, &cancel->key);
+    if (!job && cancel->key.issued_s <= agent->expired_until_s) {
+        /* Starts with such a key are refused: nothing is to be recorded. */
+        confirm_cancel(agent, entry->incarnation, &cancel->key);
+        return;
+    }
+    job = job ? job : Agi_AddJob(agent, &cancel->key);
     if (!job) {
         return;
     }
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -416,6 +416,42 @@
     assert_int_equal(cancelled.running, 3);
 }
 
+/* The records of older keys are removed while a run of one goes on. */
+static void
+a_run_of_an_expired_key_is_stopped_by_its_cancellation(void **state)
+{
+    (void)state;
+    struct msg cancel = {.type = MSG_CANCEL};
+    struct msg start = make_start(1, 1, 1);
+    node->run_ms = -1;
+    deliver(&start);
+    node->agent.expired_until_s = net.now.wall + 10;
+    cancel.u.cancel.key = start.u.start.key;
+    cancel.u.cancel.epoch = (struct epoch){1, 500};
+    deliver(&cancel);
+    Net_Run(&net, 20);
+    assert_int_equal(node->agent.busy, 0);
+}
+
+/* A start with such a key is refused, so nothing is to be remembered. */
+static void
+a_cancellation_of_an_unknown_expired_key_is_confirmed(void **state)
+{
+    (void)state;
+    struct msg cancel = {.type = MSG_CANCEL};
+    struct msg start = make_start(1, 1, 1);
+    node->agent.expired_until_s = net.now.wall + 10;
+    cancel.u.cancel.key = start.u.start.key;
+    cancel.u.cancel.epoch = (struct epoch){1, 500};
+    deliver(&cancel);
+    assert_int_equal(result.task, WIRE_ALL_TASKS);
+    assert_int_equal(result.code, CODE_CANCELLED);
+    assert_int_equal(node->agent.jobs.used, 0);
+    deliver(&start);
+    assert_int_equal(result.code, CODE_KEY_EXPIRED);
+    assert_int_equal(net.start_count, 0);
+}
+
 #define AGENT_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, Net_TearDown)
 
 int
@@ -439,6 +475,8 @@
         AGENT_TEST(tasks_from_before_this_process_take_slots),
         AGENT_TEST(requests_are_limited_by_connections),
         AGENT_TEST(a_cancellation_is_logged_once),
+        AGENT_TEST(a_run_of_an_expired_key_is_stopped_by_its_cancellation),
+        AGENT_TEST(a_cancellation_of_an_unknown_expired_key_is_confirmed),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
