An agent holds a start of a task that runs there for another entry

When a job was submitted through a second entry while a run of it went on at an agent, and the second entry chose the same agent, that agent started the task beside itself, under the next number: it knew that both are runs of one task.

Such a start is now held until the other run has ended, however long that takes, and then passes the usual checks, for a free slot and for being current. It is not refused meanwhile, as the entry would place the task at another agent at once, where it would overlap as well. It ends with its job (cancellation, loss of its entry) like any held start. The running one is not stopped: the agent cannot tell which of the two has a caller (the copy that was sent first may be read last), and the cancellation or the orphan stop ends the one that has none. If the agent can hold no more (as many as it has slots), the start is carried out as before. Other held starts pass by it.

Tests, which failed before: an_agent_does_not_start_a_task_that_still_runs_for_ another_entry, a_start_held_for_another_run_ends_with_its_job.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -52,6 +52,8 @@
     X(store_writes, "writes to the table service")                            \
     X(store_errors, "failed calls to the table service")                      \
     X(starts_held, "starts queued at an agent for a slot")                    \
+    X(starts_held_for_run,                                                    \
+      "starts held until the task's other run has ended")                     \
     X(holds_refused, "starts refused after being queued at an agent")         \
     X(tasks_orphaned, "tasks ended because their entry was unreachable")      \
     X(strangers, "peers discovered by a frame for an earlier incarnation")    \
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -162,12 +162,19 @@
 
 /* hold.c */
 
-/** Hold a start until a slot is free. Returns -1 if the start does not allow
- * it or the agent cannot hold another one. */
+/** True if a run of the same restartable task that was started for another
+ * submission of its job, through another entry, has not ended. The two must
+ * not overlap. */
+int Agi_HasOtherRun(const struct agent *agent, const struct ag_task *task,
+                    const struct msg_start *start);
+
+/** Hold a start until a slot is free and Agi_HasOtherRun() is false. Returns
+ * -1 if the agent cannot hold another one. */
 int Agi_Hold(struct agent *agent, struct now now, uint64_t from,
              const struct msg_start *start, struct ag_task *task);
 
-/** Start held tasks while there are free slots, most urgent first. */
+/** Start held tasks while there are free slots, most urgent first, except
+ * those of which another run has not ended. */
 void Agi_RunHeld(struct agent *agent, struct now now);
 
 /** Refuse held starts that have waited too long or cannot be run here any
--- a/core/src/agent/hold.c
+++ b/core/src/agent/hold.c
@@ -1,7 +1,7 @@
 /* Held starts: a small number of starts that are queued at the agent, for a
- * short time, until a slot is free. A held task has not been started. A fence,
- * a cancellation or the end of the hold time turns it into a recorded
- * refusal. */
+ * short time until a slot is free, or until another entry's run of the same
+ * task has ended. A held task has not been started. A fence, a cancellation or
+ * the end of the hold time turns it into a recorded refusal. */
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -35,11 +35,29 @@
     Tab_Remove(&agent->hold_table, hold);
 }
 
+int
+Agi_HasOtherRun(const struct agent *agent, const struct ag_task *task,
+                const struct msg_start *start)
+{
+    const struct ag_task *other;
+    if (start->name == 0 || !(start->flags & SUB_RESTART)) {
+        return 0;
+    }
+    DL_FOREACH2(agent->running, other, following)
+    {
+        if (other->job_name == start->name && other->no == start->task &&
+            other->job != task->job) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 int
 Agi_Hold(struct agent *agent, struct now now, uint64_t from,
          const struct msg_start *start, struct ag_task *task)
 {
-    if (start->hold_ms == 0 || agent->held >= agent->upstream.slots) {
+    if (agent->held >= agent->upstream.slots) {
         return -1;
     }
     struct ag_hold *hold = Tab_Add(&agent->hold_table);
@@ -86,7 +104,12 @@
 {
     for (int priority = 0; priority < PRIO_COUNT; priority++) {
         struct ag_hold *hold;
-        while ((hold = agent->holds[priority])) {
+        struct ag_hold *following;
+        DL_FOREACH_SAFE(agent->holds[priority], hold, following)
+        {
+            if (Agi_HasOtherRun(agent, hold->task, &hold->start)) {
+                continue;
+            }
             if (Agi_CheckAdmission(agent, now, &hold->start) != CODE_OK) {
                 return;
             }
@@ -109,6 +132,11 @@
         struct ag_hold *following;
         DL_FOREACH_SAFE(agent->holds[priority], hold, following)
         {
+            /* A refusal would make the entry start the task elsewhere, beside
+             * the run here. */
+            if (Agi_HasOtherRun(agent, hold->task, &hold->start)) {
+                continue;
+            }
             enum code code = Agi_CheckAdmission(agent, now, &hold->start);
             int is_expired = now.us >= hold->until_us;
             if ((code != CODE_OK && code != CODE_NO_SLOT) || is_expired) {
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -179,6 +179,11 @@
 admit_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
+    if (!task->job->cancelled && Agi_HasOtherRun(agent, task, start) &&
+        Agi_Hold(agent, now, from, start, task) == 0) {
+        CTR_INC(agent->counters, starts_held_for_run);
+        return;
+    }
     /* Counting the task as running keeps Agi_HasTableSpace() from removing its
      * own job to make space. */
     task->job->running++;
@@ -191,7 +196,8 @@
         Agi_BeginTask(agent, now, from, task, start);
         return;
     }
-    if (code == CODE_NO_SLOT && Agi_Hold(agent, now, from, start, task) == 0) {
+    if (code == CODE_NO_SLOT && start->hold_ms > 0 &&
+        Agi_Hold(agent, now, from, start, task) == 0) {
         return;
     }
     if (code == CODE_NO_SLOT) {
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -212,6 +212,52 @@
     assert_int_equal(entry->entry.open_list[0]->tasks[0].attempt, 2);
 }
 
+/* Leaves one worker, starts a job there through one entry, and submits it
+ * through the other one as well. */
+static void
+submit_twice_to_one_agent(int run_ms)
+{
+    Net_Kill(other_agent);
+    Net_Run(&net, 4000);
+    agent->run_ms = run_ms;
+    submit_to(entry, 1, JOB_NAME, 2, 1000, 10000);
+    Net_Run(&net, 50);
+    submit_to(other_entry, 2, JOB_NAME, 2, 1000, 10000);
+}
+
+static void
+an_agent_does_not_start_a_task_that_still_runs_for_another_entry(void **state)
+{
+    (void)state;
+    /* Longer than a hold lasts, and than a start stays current. */
+    submit_twice_to_one_agent(2500);
+    for (int ms = 0; ms < 2400; ms++) {
+        Net_Run(&net, 1);
+        assert_int_equal(Net_RunningAt(&net, agent), 2);
+    }
+    /* It holds up only that job. */
+    agent->run_ms = 20;
+    submit_to(other_entry, 3, JOB_NAME + 1, 1, 1000, 10000);
+    Net_Run(&net, 40);
+    assert_int_equal(Net_Answer(&net, 3), CODE_OK);
+    Net_Run(&net, 300);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+    assert_int_equal(Net_Answer(&net, 2), CODE_OK);
+}
+
+static void
+a_start_held_for_another_run_ends_with_its_job(void **state)
+{
+    (void)state;
+    submit_twice_to_one_agent(-1);
+    Net_Run(&net, 1000);
+    assert_int_equal(agent->agent.held, 2);
+    assert_int_equal(Ent_CancelJobByName(&other_entry->entry, JOB_NAME), 1);
+    Net_Run(&net, 20);
+    assert_int_equal(agent->agent.held, 0);
+    assert_int_equal(Net_RunningAt(&net, agent), 2);
+}
+
 static void
 a_disconnected_caller_frees_its_capacity(void **state)
 {
@@ -410,6 +456,8 @@
         TEST(a_failing_task_runs_max_attempts_times),
         TEST(a_lost_run_is_not_a_failed_attempt),
         TEST(late_result_of_an_earlier_attempt_is_ignored),
+        TEST(an_agent_does_not_start_a_task_that_still_runs_for_another_entry),
+        TEST(a_start_held_for_another_run_ends_with_its_job),
         TEST(a_disconnected_caller_frees_its_capacity),
         TEST(a_disconnected_caller_does_not_end_a_shared_job),
         TEST(a_lost_agents_task_waits_until_its_lease_expired),
