entry: look for an agent's first task only for unconfirmed tasks

The search is quadratic in the tasks of a job, of which there may be 820, and most are confirmed by the time that a cancellation is sent again.

--- a/core/src/entry/cancel.c
+++ b/core/src/entry/cancel.c
@@ -34,11 +34,14 @@
 is_first_uncancelled(const struct ent_job *job, const struct ent_task *task)
 {
     const struct ent_task *other = job->tasks;
+    if (!task->uncancelled) {
+        return 0;
+    }
     while (other != task &&
            !(other->uncancelled && other->agent == task->agent)) {
         other++;
     }
-    return other == task && task->uncancelled;
+    return other == task;
 }
 
 /* Sends the cancellation again to one agent, or to all if `agent` is 0. */
