A lease ends by the time after which a lost entry's callers submit again

Callers saw one task run at two upstreams at a time. An agent stops the tasks of a lost entry after 910 ms, but renewed the leases of all runs by 1,000 ms until then. When it was paused before the stop, the run went on for up to 1.9 s after its entry was lost, while callers come back after 1.3 s.

An entry is known to have been alive when the agent sent the latest heartbeat that the entry has echoed. The lease granted with each start and poll now ends at the latest R - 150 ms after that time, for the earliest of all entries with restartable runs at the upstream. A lease is never shortened and holds for all runs, so a start is refused as stale while the lease already granted outlives the limit of its run; the agent then sends a heartbeat, which the next start can name. For that to be rare the longest lease is 0.45 R, 585 ms; polls stay at an interval of 195 ms. An entry that echoes nothing for 0.75 R has its tasks stopped, so that the leases of other entries' runs are not shortened.

A run whose entry is gone, or which an earlier process of the agent started, gets no further lease, and an earlier process is taken to have granted one when the upstream is first seen. The lease is computed for a clock of the upstream that is 2% slow since it was last read; before, only the end of runs allowed for it. Nothing can run at a silent agent after R (1,300 ms, was 2,515), as an entry that hears nothing of it has echoed nothing either, and 735 ms after its process has ended (was 1,150).

With rolling replacement, new entries wait less than old agents need, for as long as both run.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -48,6 +48,9 @@
 /** Time that a draining agent waits for owners that it has no contact with to
  * acknowledge their outcomes. */
 #define AG_OWNER_WAIT_US (5 * US_PER_S)
+/** Minimum interval between heartbeats to an entry whose starts are refused as
+ * stale. */
+#define AG_REFRESH_INTERVAL_US (10 * US_PER_MS)
 /** An announcement that is not renewed within this time expires, and the
  * upstream is treated as gone. */
 #define AG_ANNOUNCE_TTL_US (3 * US_PER_S)
@@ -165,6 +168,7 @@
     uint64_t linked_us;         /**< When the connection was last opened. */
     uint64_t heartbeat_echo_us; /**< `sent_us` of its latest heartbeat, to be
                                      echoed. */
+    uint64_t heartbeat_sent_us; /**< When it was last sent a heartbeat. */
     uint64_t echoed_us;       /**< When the latest heartbeat that it has echoed
                                    was sent. */
     uint64_t version;         /**< Registry version that it has applied. */
@@ -204,6 +208,8 @@
     uint32_t expired_until_s; /**< Keys issued at or before this are refused:
                                    records of such keys have been removed. */
     struct ag_announce upstream;
+    uint64_t leased_until_us; /**< When the latest lease at the upstream
+                                   ends. */
     uint64_t announced_us; /**< When the upstream last announced itself, 0 when
                                 there is none. */
     uint32_t busy;         /**< Slots used by running tasks. */
@@ -272,6 +278,16 @@
 void Ag_OnTaskEnd(struct agent *agent, struct now now, tab_handle task,
                   enum code code, struct bytes output, uint32_t run_us);
 
+/** The time at which the lease of a task's run must end, so that it has ended
+ * when the caller of a lost entry submits the job again, even if this agent
+ * does not act in time. UINT64_MAX for no limit; 0 for a run of no task, which
+ * must get no further lease. */
+uint64_t Ag_RunLimit(const struct agent *agent, tab_handle task);
+
+/** Record when the latest lease at the upstream ends, which holds for all runs
+ * there. */
+void Ag_OnLease(struct agent *agent, uint64_t until_us);
+
 /** Handle the loss of the upstream. Starts are refused until it announces
  * itself again. */
 void Ag_OnUpstreamGone(struct agent *agent, struct now now);
--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -44,6 +44,13 @@
     uint64_t quiesce_us;
     /** The same, counted from when its process is known to have ended. */
     uint64_t exit_quiesce_us;
+    /** Longest lease that an agent grants its runs; 0 for the longest that its
+     * upstream allows. */
+    uint64_t lease_us;
+    /** The lease of a restartable task's run ends at the latest this long
+     * after a time at which its entry is known to have been alive; 0 for no
+     * such limit. */
+    uint64_t run_limit_us;
 };
 
 /** Set the time-outs for callers that keep their idempotency keys. They can
@@ -53,11 +60,15 @@
 
 /** Derive the time-outs for callers that submit a job again, to any entry,
  * `resubmit_us` after their connection broke: by then, the tasks that the
- * earlier entry started must have ended. `lease_us` is the longest lease at an
- * upstream. */
+ * earlier entry started must have ended, even if their agent does not act.
+ * `lease_us` is the longest lease that an upstream allows. */
 void Timing_Derive(struct timing *timing, uint64_t resubmit_us,
                    uint64_t lease_us);
 
+/** The longest lease that an agent grants at an upstream that allows at most
+ * `longest_us`. */
+uint64_t Timing_Lease(const struct timing *timing, uint64_t longest_us);
+
 /** A process acts on its configuration only if it has been confirmed within
  * this time to be the newest. */
 #define CONFIG_MAX_AGE_US (3 * US_PER_S)
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -95,20 +95,26 @@
     uint64_t fence;        /**< RN_START, RN_STOP, RN_POLL: `runner.fence`. */
     uint64_t lease_end_ms; /**< End of the leases on the upstream's clock, 0 to
                                 leave them unchanged. */
-    struct bytes input;    /**< RN_START. */
-    uint64_t last_ended;   /**< RN_POLL: highest `rn_ended.seq` read; the
-                                upstream may remove ends up to it. */
-    uint32_t poll;         /**< RN_POLL: to be passed to Rn_OnPoll(). */
-    uint32_t wait_ms;      /**< RN_POLL: longest time that the upstream may
-                                delay its answer until a run ends. */
-    tab_handle task;       /**< RN_END. */
-    enum code code;        /**< RN_END: outcome of the task. */
-    uint32_t run_us;       /**< RN_END: time since the first start order. */
+    uint64_t leased_until_us; /**< RN_START, RN_POLL: when the latest lease at
+                                   the upstream ends. */
+    struct bytes input;       /**< RN_START. */
+    uint64_t last_ended;      /**< RN_POLL: highest `rn_ended.seq` read; the
+                                   upstream may remove ends up to it. */
+    uint32_t poll;            /**< RN_POLL: to be passed to Rn_OnPoll(). */
+    uint32_t wait_ms;         /**< RN_POLL: longest time that the upstream may
+                                   delay its answer until a run ends. */
+    tab_handle task;          /**< RN_END. */
+    enum code code;           /**< RN_END: outcome of the task. */
+    uint32_t run_us;          /**< RN_END: time since the first start order. */
 };
 
 /** Receiver of the actions. */
 struct rn_sink {
     void (*emit)(void *context, const struct rn_act *act);
+    /** The time at which the lease of a task's run must end; a lease holds for
+     * all runs of an upstream. `task` is 0 for a run of an earlier process.
+     * NULL for no limit. */
+    uint64_t (*run_limit)(void *context, tab_handle task);
     void *context;
 };
 
@@ -202,6 +208,7 @@
     uint64_t next_poll_us;
     uint64_t fast_poll_until_us; /**< Until then polls are more frequent, since
                                       answers are being lost. */
+    uint64_t leased_until_us; /**< When the latest lease ends at the latest. */
     struct tab runs;
     struct rn_run *index;                   /**< `runs` by id. */
     tab_handle unstarted[RN_MAX_UNSTARTED]; /**< Tasks that could not be
@@ -211,7 +218,7 @@
 };
 
 /** Initialise a runner in memory provided by the caller. `lease_us` is the
- * longest lease that the upstream grants, `stop_us` the longest time that a
+ * longest lease to be granted, `stop_us` the longest time that a
  * stop takes there. Returns -1 if memory cannot be allocated. */
 int Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t stop_us,
             struct rn_sink sink, struct counters *counters);
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -96,6 +96,7 @@
 {
     struct msg msg = {.type = MSG_HEARTBEAT};
     msg.u.heartbeat.sent_us = now.us;
+    entry->heartbeat_sent_us = now.us;
     msg.u.heartbeat.echo_us = entry->heartbeat_echo_us;
     msg.u.heartbeat.version = agent->registered;
     msg.u.heartbeat.draining = agent->draining;
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -71,10 +71,10 @@
 void Agi_Refuse(struct agent *agent, uint64_t to,
                 const struct msg_start *start, enum code code);
 
-/** Check whether the agent can run a start now. Returns CODE_OK or the reason
- * against it, which may cease to apply later. */
+/** Check whether the agent can run a start of the entry `from` now. Returns
+ * CODE_OK or the reason against it, which may cease to apply later. */
 enum code Agi_CheckAdmission(struct agent *agent, struct now now,
-                             const struct msg_start *start);
+                             uint64_t from, const struct msg_start *start);
 
 /** Run a task on the upstream, for the entry with incarnation `from`. */
 void Agi_BeginTask(struct agent *agent, struct now now, uint64_t from,
@@ -94,9 +94,10 @@
 /** Stop the restartable tasks of entries that are considered lost. */
 void Agi_StopOrphans(struct agent *agent, struct now now);
 
-/** True if a start is recent enough to be carried out. The sender may have
- * given up one that was delayed in a queue. */
-int Agi_IsCurrent(const struct agent *agent, struct now now,
+/** True if a start of the entry `from` is recent enough to be carried out. The
+ * sender may have given up one that was delayed in a queue, and the run must
+ * not get a lease beyond its limit, see Ag_RunLimit(). */
+int Agi_IsCurrent(const struct agent *agent, struct now now, uint64_t from,
                   const struct msg_start *start);
 
 /* start.c */
--- a/core/src/agent/hold.c
+++ b/core/src/agent/hold.c
@@ -110,7 +110,8 @@
             if (Agi_HasOtherRun(agent, hold->task, &hold->start)) {
                 continue;
             }
-            if (Agi_CheckAdmission(agent, now, &hold->start) != CODE_OK) {
+            if (Agi_CheckAdmission(agent, now, hold->from, &hold->start) !=
+                CODE_OK) {
                 return;
             }
             uint64_t waited_ms = (now.us - hold->since_us) / US_PER_MS;
@@ -137,7 +138,8 @@
             if (Agi_HasOtherRun(agent, hold->task, &hold->start)) {
                 continue;
             }
-            enum code code = Agi_CheckAdmission(agent, now, &hold->start);
+            enum code code =
+                Agi_CheckAdmission(agent, now, hold->from, &hold->start);
             int is_expired = now.us >= hold->until_us;
             if ((code != CODE_OK && code != CODE_NO_SLOT) || is_expired) {
                 code = code == CODE_OK ? CODE_NO_SLOT : code;
--- a/core/src/agent/orphan.c
+++ b/core/src/agent/orphan.c
@@ -62,14 +62,43 @@
     }
 }
 
+/* An entry is known to have been alive when the latest heartbeat that it has
+ * echoed was sent. The arrival of a message proves nothing: it may have waited
+ * while this process was paused. */
+static uint64_t
+run_limit_us(const struct agent *agent, uint64_t from)
+{
+    const struct ag_entry *entry = Agi_FindEntry(agent, from);
+    return entry ? entry->echoed_us + agent->settings.timing.run_limit_us : 0;
+}
+
+uint64_t
+Ag_RunLimit(const struct agent *agent, tab_handle handle)
+{
+    const struct ag_task *task = Tab_Get(&agent->tasks, handle);
+    if (agent->settings.timing.run_limit_us == 0 ||
+        (task && !(task->flags & SUB_RESTART))) {
+        return UINT64_MAX;
+    }
+    return task ? run_limit_us(agent, task->from) : 0;
+}
+
+void
+Ag_OnLease(struct agent *agent, uint64_t until_us)
+{
+    agent->leased_until_us = until_us;
+}
+
 int
-Agi_IsCurrent(const struct agent *agent, struct now now,
+Agi_IsCurrent(const struct agent *agent, struct now now, uint64_t from,
               const struct msg_start *start)
 {
     const struct timing *timing = &agent->settings.timing;
     if (timing->orphan_timeout_us == 0 || !(start->flags & SUB_RESTART)) {
         return 1;
     }
+    /* An upstream's lease is never shortened, and would hold for this run. */
     return start->agent_heartbeat_us && start->agent_heartbeat_us <= now.us &&
-           now.us - start->agent_heartbeat_us < timing->orphan_timeout_us;
+           now.us - start->agent_heartbeat_us < timing->orphan_timeout_us &&
+           agent->leased_until_us <= run_limit_us(agent, from);
 }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -63,7 +63,7 @@
 }
 
 enum code
-Agi_CheckAdmission(struct agent *agent, struct now now,
+Agi_CheckAdmission(struct agent *agent, struct now now, uint64_t from,
                    const struct msg_start *start)
 {
     /* Outcomes of restartable tasks are never requested later, so their starts
@@ -71,7 +71,7 @@
     if (agent->registered == 0 && !(start->flags & SUB_RESTART)) {
         return CODE_NOT_ADMITTED;
     }
-    if (!Agi_IsCurrent(agent, now, start)) {
+    if (!Agi_IsCurrent(agent, now, from, start)) {
         return CODE_STALE_START;
     }
     if (!Agi_HasTableSpace(agent)) {
@@ -156,6 +156,16 @@
     Act_Emit(&agent->sink, &act);
 }
 
+/* Let an entry whose start is stale name a fresh heartbeat in the next one. */
+static void
+refresh_heartbeat(struct agent *agent, struct now now, uint64_t from)
+{
+    struct ag_entry *entry = Agi_FindEntry(agent, from);
+    if (entry && now.us - entry->heartbeat_sent_us >= AG_REFRESH_INTERVAL_US) {
+        Agi_SendHeartbeat(agent, now, entry);
+    }
+}
+
 static struct ag_task *
 find_or_add_task(struct agent *agent, const struct msg_start *start)
 {
@@ -187,7 +197,7 @@
     /* Counting the task as running keeps Agi_HasTableSpace() from removing its
      * own job to make space. */
     task->job->running++;
-    enum code code = Agi_CheckAdmission(agent, now, start);
+    enum code code = Agi_CheckAdmission(agent, now, from, start);
     task->job->running--;
     if (task->job->cancelled) {
         code = CODE_CANCELLED;
@@ -203,6 +213,9 @@
     if (code == CODE_NO_SLOT) {
         Agi_RecordDemand(agent, now, from);
     }
+    if (code == CODE_STALE_START) {
+        refresh_heartbeat(agent, now, from);
+    }
     task->state = TASK_REFUSED;
     task->code = code;
     task->epoch = start->epoch;
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -90,7 +90,8 @@
     act.run = Tab_Handle(&runner->runs, run);
     act.id = run->id;
     act.fence = runner->fence;
-    act.lease_end_ms = Rni_LeaseEnd(runner, now);
+    act.lease_end_ms = Rni_GrantLease(runner, now);
+    act.leased_until_us = runner->leased_until_us;
     act.input = run->input;
     run->order_pending = 1;
     run->tries++;
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -3,7 +3,7 @@
 #include "runner_impl.h"
 
 /* Leases are renewed at intervals of their length divided by this. */
-#define RENEWALS_PER_LEASE 5
+#define RENEWALS_PER_LEASE 3
 /* The upstream is treated as unreachable after MAX_FAILURES consecutive polls
  * without an answer, if in addition no order was answered for UNREACHABLE_US:
  * single orders are lost even while the upstream works. */
@@ -44,9 +44,10 @@
      * answer at once. */
     act.wait_ms = is_known && runner->poll_failures == 0 ? ms : 0;
     if (is_known) {
-        act.lease_end_ms = Rni_LeaseEnd(runner, now);
+        act.lease_end_ms = Rni_GrantLease(runner, now);
         Rni_MarkRenewed(runner, now);
     }
+    act.leased_until_us = runner->leased_until_us;
     runner->sink.emit(runner->sink.context, &act);
 }
 
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -51,11 +51,41 @@
     }
 }
 
+/* The earliest time at which a run must end. A run whose stop has been
+ * acknowledged ends without a lease. */
+static uint64_t
+earliest_limit_us(const struct runner *runner)
+{
+    uint64_t earliest_us = UINT64_MAX;
+    uint32_t slot = 0;
+    const struct rn_run *run;
+    if (!runner->sink.run_limit) {
+        return earliest_us;
+    }
+    while ((run = Tab_Next(&runner->runs, &slot))) {
+        uint64_t limit_us =
+            run->state == RN_STOPPED
+                ? UINT64_MAX
+                : runner->sink.run_limit(runner->sink.context, run->task);
+        earliest_us = limit_us < earliest_us ? limit_us : earliest_us;
+    }
+    return earliest_us;
+}
+
 uint64_t
-Rni_LeaseEnd(const struct runner *runner, struct now now)
+Rni_GrantLease(struct runner *runner, struct now now)
 {
-    uint64_t since_us = now.us - runner->clock_us;
-    return runner->clock_ms + (since_us + runner->lease_us) / US_PER_MS;
+    uint64_t limit_us = earliest_limit_us(runner);
+    uint64_t end_us = now.us + runner->lease_us;
+    end_us = limit_us < end_us ? limit_us : end_us;
+    if (end_us > runner->leased_until_us) {
+        runner->leased_until_us = end_us;
+    }
+    uint64_t since_us =
+        end_us > runner->clock_us ? end_us - runner->clock_us : 0;
+    /* The upstream's clock may be slow. */
+    since_us = since_us * (100 - RNI_CLOCK_SLACK_PERCENT) / 100;
+    return runner->clock_ms + since_us / US_PER_MS;
 }
 
 void
@@ -114,6 +144,10 @@
     if (born_ms < runner->born_ms) {
         return;
     }
+    if (runner->leased_until_us == 0) {
+        /* An earlier process may have granted a lease until then. */
+        runner->leased_until_us = now.us + runner->lease_us;
+    }
     if (born_ms != runner->born_ms) {
         Rni_OnRestart(runner, now, born_ms);
     }
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -42,8 +42,9 @@
 /** Record the upstream's clock, unless `clock_ms` is 0. */
 void Rni_SetClock(struct runner *runner, struct now now, uint64_t clock_ms);
 
-/** End of a lease that begins now, in milliseconds of the upstream's clock. */
-uint64_t Rni_LeaseEnd(const struct runner *runner, struct now now);
+/** Grant a lease that begins now and ends no later than any run there must
+ * end. Returns its end in milliseconds of the upstream's clock. */
+uint64_t Rni_GrantLease(struct runner *runner, struct now now);
 
 /** Record that an order which renews leases got no answer, and may still be
  * carried out. */
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -150,14 +150,24 @@
                  act->run_us);
 }
 
+static uint64_t
+run_limit(void *context, tab_handle task)
+{
+    const struct orders *orders = context;
+    return Ag_RunLimit(orders->core, task);
+}
+
 static void
 emit(void *context, const struct rn_act *act)
 {
     struct orders *orders = context;
     switch (act->type) {
     case RN_START:
-    case RN_STOP:
     case RN_POLL:
+        Ag_OnLease(orders->core, act->leased_until_us);
+        send_order(orders, act);
+        break;
+    case RN_STOP:
         send_order(orders, act);
         break;
     case RN_END:
@@ -274,13 +284,15 @@
             const struct settings *settings, struct agent *core,
             struct counters *counters, struct err *err)
 {
-    struct rn_sink sink = {emit, orders};
+    struct rn_sink sink = {emit, run_limit, orders};
+    uint64_t lease_us =
+        Timing_Lease(&core->settings.timing,
+                     (uint64_t)settings->upstream_lease_ms * US_PER_MS);
     memset(orders, 0, sizeof(*orders));
     orders->settings = settings;
     orders->core = core;
     orders->counters = counters;
-    if (Rn_Init(&orders->runner,
-                (uint64_t)settings->upstream_lease_ms * US_PER_MS,
+    if (Rn_Init(&orders->runner, lease_us,
                 (uint64_t)settings->upstream_stop_ms * US_PER_MS, sink,
                 counters)) {
         return Err_Set(err, CODE_NO_MEMORY,
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -282,6 +282,71 @@
     assert_int_equal(last_code, CODE_OK);
 }
 
+static void
+no_run_outlives_its_limit_at_a_slow_clock(void **state)
+{
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    run_ms = 5000;
+    clock_percent = 98;
+    announce();
+    start_task(1, 1, 0);
+    run_for(1000);
+    uint64_t limit_ms = now_ms + LEASE_MS + 100;
+    run_limit_us = limit_ms * US_PER_MS;
+    run_for(LEASE_MS);
+    assert_non_null(find_run(&id));
+    run_for(limit_ms + 1 - now_ms);
+    assert_null(find_run(&id));
+}
+
+/* Its stop has been acknowledged, so it ends without a lease. */
+static void
+a_stopped_run_does_not_shorten_the_leases_of_others(void **state)
+{
+    (void)state;
+    run_ms = 5000;
+    announce();
+    start_task(1, 1, 0);
+    start_task(2, 1, 0);
+    run_for(100);
+    limited = 2;
+    run_limit_us = now_ms * US_PER_MS;
+    Rn_Stop(&runner, now(), 2);
+    run_for(10);
+    start_task(3, 1, 0);
+    run_for(2);
+    assert_true(lease_end_ms > upstream_clock_ms() + LEASE_MS * 9 / 10);
+}
+
+static void
+an_earlier_process_is_taken_to_have_granted_a_lease(void **state)
+{
+    (void)state;
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    assert_true(leased_until_us >= (1000 + LEASE_MS) * US_PER_MS);
+}
+
+/* The entry of such a run may be lost, and a lease holds for all runs. */
+static void
+runs_of_an_earlier_process_get_no_further_lease(void **state)
+{
+    struct rn_id old = {.job = 9, .number = 3};
+    (void)state;
+    run_ms = 5000;
+    lease_end_ms = upstream_clock_ms() + LEASE_MS;
+    uint64_t granted_ms = lease_end_ms;
+    add_run(&old);
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    while (find_run(&old) && !find_run(&old)->stop_ms) {
+        run_for(1);
+        assert_int_equal(lease_end_ms, granted_ms);
+    }
+    run_for(200);
+    assert_true(ready);
+    assert_int_equal(starts, 0);
+}
+
 int
 main(void)
 {
@@ -302,6 +367,10 @@
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
+        TEST(no_run_outlives_its_limit_at_a_slow_clock),
+        TEST(a_stopped_run_does_not_shorten_the_leases_of_others),
+        TEST(an_earlier_process_is_taken_to_have_granted_a_lease),
+        TEST(runs_of_an_earlier_process_get_no_further_lease),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
