--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -14,9 +14,21 @@
 #define RECORDED 7
 #define MAX_TESTS 8192
 
+/* Agents pause for times up to these. The first are shorter than a lease of
+ * the time when the recorded days failed; the second outlast every lease. */
+#define SHORT_PAUSE_MS 550
+#define LONG_PAUSE_MS 2500
+
 /* Days on which a task ran twice: its entry was killed and its agent paused
  * when the task had to be stopped. */
-static uint64_t recorded_seeds[RECORDED] = {4, 107, 209, 286, 354, 541, 607};
+static const uint64_t recorded_seeds[RECORDED] = {4,   107, 209, 286,
+                                                  354, 541, 607};
+
+/* A day of faults. */
+struct day {
+    uint64_t seed;
+    uint32_t agent_pause_ms; /* Longest pause of an agent. */
+};
 
 /* A caller with one job. */
 struct job {
@@ -36,6 +48,7 @@
 static const struct net_node *cut_entry;
 static const struct net_node *cut_agent;
 static uint32_t loss_percent;
+static uint32_t agent_pause_ms;
 
 static uint32_t
 draw(uint32_t bound)
@@ -178,7 +191,7 @@
         pause_one(entries, ENTRIES, 200, 3000);
         break;
     case 1:
-        pause_one(agents, AGENTS, 50, 500);
+        pause_one(agents, AGENTS, 50, agent_pause_ms - 50);
         break;
     case 2:
         if (net.count < NET_MAX_NODES) {
@@ -216,8 +229,10 @@
 }
 
 static void
-run_seed(uint64_t seed)
+run_day(const struct day *day)
 {
+    uint64_t seed = day->seed;
+    agent_pause_ms = day->agent_pause_ms;
     start_fleet(seed);
     for (int i = 0; i < AGENTS; i++) {
         agents[i]->run_ms = 100 + (int)draw(2400);
@@ -250,7 +265,7 @@
 static void
 no_task_runs_twice_at_a_time(void **state)
 {
-    run_seed(*(const uint64_t *)*state);
+    run_day(*state);
 }
 
 static int
@@ -269,31 +284,43 @@
     return count ? strtoull(count, NULL, 10) : otherwise;
 }
 
-/* Each seed is a test of its own, so that a run names all that fail. */
-static uint32_t
-add_test(struct CMUnitTest *tests, uint32_t count, uint64_t *seed)
+static void
+no_task_runs_twice_while_agents_pause_for_long(void **state)
 {
-    tests[count] = (struct CMUnitTest)cmocka_unit_test_prestate_setup_teardown(
-        no_task_runs_twice_at_a_time, NULL, finish, seed);
-    return count + 1;
+    run_day(*state);
 }
 
-/* SUBSET_RECORDED recorded seeds are played first, then the seeds 1 to
- * SUBSET_SEEDS. Unused entries of `tests` are skipped. */
+/* Each day is a test of its own, so that a run names all that fail. */
+static struct CMUnitTest
+make_test(struct day *day)
+{
+    struct CMUnitTest short_pauses = cmocka_unit_test_prestate_setup_teardown(
+        no_task_runs_twice_at_a_time, NULL, finish, day);
+    struct CMUnitTest long_pauses = cmocka_unit_test_prestate_setup_teardown(
+        no_task_runs_twice_while_agents_pause_for_long, NULL, finish, day);
+    return day->agent_pause_ms == LONG_PAUSE_MS ? long_pauses : short_pauses;
+}
+
+/* SUBSET_RECORDED recorded days are played first, then the seeds 1 to
+ * SUBSET_SEEDS with short pauses, then those with long ones. Unused entries of
+ * `tests` are skipped. */
 int
 main(void)
 {
     static struct CMUnitTest tests[MAX_TESTS];
-    static uint64_t seeds[MAX_TESTS];
+    static struct day days[MAX_TESTS];
     uint32_t count = 0;
     uint64_t recorded = count_from_environment("SUBSET_RECORDED", RECORDED);
     uint64_t others = count_from_environment("SUBSET_SEEDS", SEEDS);
     for (uint64_t i = 0; i < recorded && i < RECORDED; i++) {
-        count = add_test(tests, count, &recorded_seeds[i]);
+        days[count++] = (struct day){recorded_seeds[i], SHORT_PAUSE_MS};
+    }
+    for (uint64_t i = 0; i < 2 * others && count < MAX_TESTS; i++) {
+        days[count++] = (struct day){
+            i % others + 1, i < others ? SHORT_PAUSE_MS : LONG_PAUSE_MS};
     }
-    for (uint64_t i = 0; i < others && count < MAX_TESTS; i++) {
-        seeds[i] = i + 1;
-        count = add_test(tests, count, &seeds[i]);
+    for (uint32_t i = 0; i < count; i++) {
+        tests[i] = make_test(&days[i]);
     }
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
