--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -347,7 +347,7 @@
     close(fd);
 }
 
-/* A report, such as a heartbeat, stays true when its sender no longer waits. */
+/* A heartbeat or another report stays true when its sender no longer waits. */
 static void
 a_server_of_reports_handles_those_of_closed_connections(void **state)
 {
