An entry uses the load in the result of an ended job

Each result reports the load of its agent, and the agent takes it as reported: it sends no load update for what the entry has been told. An entry ignored it in results for jobs that had ended, so its estimate stayed out of date until the next change or heartbeat (364 ms). Confirmations of cancellations made such results more frequent.

Tests: the_load_in_a_result_of_an_ended_job_is_used, which failed before. a_lost_confirmation_is_asked_for_again is new and passed before too.

--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -252,6 +252,22 @@
     Act_Send(&entry->sink, agent->member.incarnation, &msg);
 }
 
+static void
+on_open_job_result(struct entry *entry, struct now now, struct ent_job *job,
+                   struct ent_peer *agent, const struct msg_result *result)
+{
+    struct ent_task *task = find_task(job, result->task);
+    if (!task || task->state != ENT_SENT ||
+        task->agent != agent->member.incarnation) {
+        CTR_INC(entry->counters, result_duplicate);
+        return;
+    }
+    apply_result(entry, now, job, task, agent, result);
+    if (job->state == ENT_JOB_ANSWERED && job->code == CODE_OK) {
+        Enti_CountResponse(job, now);
+    }
+}
+
 void
 Enti_OnResult(struct entry *entry, struct now now, struct ent_peer *agent,
               const struct msg_result *result)
@@ -262,27 +278,16 @@
         return;
     }
     struct ent_job *job = Enti_FindJob(entry, &result->key);
-    if (job && job->uncancelled) {
-        Enti_ConfirmCancel(entry, job, agent->member.incarnation, result);
+    if (job && job->state == ENT_JOB_OPEN) {
+        on_open_job_result(entry, now, job, agent, result);
     }
-    else if (!job || job->state != ENT_JOB_OPEN) {
-        CTR_INC(entry->counters, result_stale);
-    }
-    if (!job || job->state != ENT_JOB_OPEN) {
-        send_result_ack(entry, agent, result, job);
-        return;
-    }
-    struct ent_task *task = find_task(job, result->task);
-    if (!task || task->state != ENT_SENT ||
-        task->agent != agent->member.incarnation) {
-        CTR_INC(entry->counters, result_duplicate);
+    else if (job && job->uncancelled) {
+        Enti_ConfirmCancel(entry, job, agent->member.incarnation, result);
     }
     else {
-        apply_result(entry, now, job, task, agent, result);
-        if (job->state == ENT_JOB_ANSWERED && job->code == CODE_OK) {
-            Enti_CountResponse(job, now);
-        }
+        CTR_INC(entry->counters, result_stale);
     }
+    /* Also of an ended job: the agent does not report this load again. */
     update_agent_use(agent, result);
     send_result_ack(entry, agent, result, job);
     if (service && service->waiting) {
--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -268,6 +268,53 @@
     assert_int_equal(net.start_count, 0);
 }
 
+static enum net_verdict
+drop_results(struct net *n, const struct net_node *from,
+             const struct net_node *to, const struct msg *msg)
+{
+    (void)from;
+    (void)to;
+    return msg->type == MSG_RESULT && n->now.us < cut_until_us ? NET_DROP
+                                                               : NET_PASS;
+}
+
+static void
+a_lost_confirmation_is_asked_for_again(void **state)
+{
+    (void)state;
+    struct key key = start_job(1);
+    net.filter = drop_results;
+    cut_until_us = net.now.us + 300 * US_PER_MS;
+    Ent_OnCallerDisconnected(&entry->entry, 1, &key);
+    Net_Run(&net, 300);
+    assert_int_equal(entry->entry.jobs.used, 1);
+    Net_Run(&net, 100);
+    assert_int_equal(entry->entry.jobs.used, 0);
+}
+
+/* The agent takes what a result says of its load as reported, and sends no
+ * load update for it. */
+static void
+the_load_in_a_result_of_an_ended_job_is_used(void **state)
+{
+    struct msg msg = {.type = MSG_RESULT};
+    const struct ent_peer *peer = NULL;
+    uint32_t slot = 0;
+    (void)state;
+    msg.u.result.key = Net_IssueKey(entry);
+    msg.u.result.task = WIRE_ALL_TASKS;
+    msg.u.result.state = TASK_REFUSED;
+    msg.u.result.code = CODE_CANCELLED;
+    msg.u.result.used.cpu = 5000;
+    msg.u.result.receiver_used.cpu = 1000;
+    Ent_OnMessage(&entry->entry, net.now, &agents[0]->header, &msg);
+    while ((peer = Tab_Next(&entry->entry.peers, &slot)) &&
+           peer->member.incarnation != agents[0]->header.from) {
+    }
+    assert_non_null(peer);
+    assert_int_equal(peer->other_used.cpu, 4000);
+}
+
 static void
 a_cancellation_that_arrives_is_sent_once(void **state)
 {
@@ -342,6 +389,8 @@
         TEST(a_lost_cancellation_of_a_failed_job_does_not_leave_the_run_going),
         TEST(
             a_cancellation_that_overtakes_its_start_is_confirmed_and_remembered),
+        TEST(a_lost_confirmation_is_asked_for_again),
+        TEST(the_load_in_a_result_of_an_ended_job_is_used),
         TEST(a_cancellation_that_arrives_is_sent_once),
         TEST(a_cancellation_is_given_up_once_nothing_can_run),
         TEST(a_replaced_agent_is_sent_no_cancellations),
