--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -292,14 +292,27 @@
     assert_int_equal(entry->entry.jobs.used, 0);
 }
 
+/* CPU that other entries use at an agent, as `node` knows it. */
+static uint32_t
+others_cpu(const struct net_node *node, const struct net_node *agent)
+{
+    const struct ent_peer *peer;
+    uint32_t slot = 0;
+    while ((peer = Tab_Next(&node->entry.peers, &slot))) {
+        if (peer->member.incarnation == agent->header.from) {
+            return peer->other_used.cpu;
+        }
+    }
+    fail_msg("the entry does not know the agent");
+    return 0;
+}
+
 /* The agent takes what a result says of its load as reported, and sends no
  * load update for it. */
 static void
 the_load_in_a_result_of_an_ended_job_is_used(void **state)
 {
     struct msg msg = {.type = MSG_RESULT};
-    const struct ent_peer *peer = NULL;
-    uint32_t slot = 0;
     (void)state;
     msg.u.result.key = Net_IssueKey(entry);
     msg.u.result.task = WIRE_ALL_TASKS;
@@ -308,11 +321,7 @@
     msg.u.result.used.cpu = 5000;
     msg.u.result.receiver_used.cpu = 1000;
     Ent_OnMessage(&entry->entry, net.now, &agents[0]->header, &msg);
-    while ((peer = Tab_Next(&entry->entry.peers, &slot)) &&
-           peer->member.incarnation != agents[0]->header.from) {
-    }
-    assert_non_null(peer);
-    assert_int_equal(peer->other_used.cpu, 4000);
+    assert_int_equal(others_cpu(entry, agents[0]), 4000);
 }
 
 static void
