--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -121,7 +121,7 @@
 a_start_whose_run_an_earlier_lease_would_outlive_is_refused(void **state)
 {
     (void)state;
-    Ag_OnLease(&agent->agent, net.now.us + 2 * RESUBMIT_MS * US_PER_MS);
+    Ag_OnLease(&agent->agent, net.now.us + 2 * US_PER_MS * RESUBMIT_MS);
     submit(entry, JOB_NAME);
     Net_Run(&net, RESUBMIT_MS);
     assert_int_equal(net.start_count, 0);
--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -301,6 +301,17 @@
     return day->agent_pause_ms == LONG_PAUSE_MS ? long_pauses : short_pauses;
 }
 
+/* Add the seeds 1 to `seeds`. Returns the number of days. */
+static uint32_t
+add_days(struct day *days, uint32_t count, uint64_t seeds,
+         uint32_t longest_pause_ms)
+{
+    for (uint64_t seed = 1; seed <= seeds && count < MAX_TESTS; seed++) {
+        days[count++] = (struct day){seed, longest_pause_ms};
+    }
+    return count;
+}
+
 /* SUBSET_RECORDED recorded days are played first, then the seeds 1 to
  * SUBSET_SEEDS with short pauses, then those with long ones. Unused entries of
  * `tests` are skipped. */
@@ -315,10 +326,8 @@
     for (uint64_t i = 0; i < recorded && i < RECORDED; i++) {
         days[count++] = (struct day){recorded_seeds[i], SHORT_PAUSE_MS};
     }
-    for (uint64_t i = 0; i < 2 * others && count < MAX_TESTS; i++) {
-        days[count++] = (struct day){
-            i % others + 1, i < others ? SHORT_PAUSE_MS : LONG_PAUSE_MS};
-    }
+    count = add_days(days, count, others, SHORT_PAUSE_MS);
+    count = add_days(days, count, others, LONG_PAUSE_MS);
     for (uint32_t i = 0; i < count; i++) {
         tests[i] = make_test(&days[i]);
     }
