A run that has been stopped gets no lease for its entry's later signs of life

Found by review. When the stop orders of a cancelled run were lost, polls were answered meanwhile and renewed its lease, as the entry lives: after five lost orders (150 ms time-out each, doubled delays up to 1 s) the run was still going when its caller may submit the job again, 1.3 s after it left.

The limit of the run's lease is now frozen when its stop is first ordered. The signs of life known then are from before the caller left, as a cancellation precedes every message that carries a later one. Since a lease holds for all runs at the upstream, stops are repeated each 100 ms at the latest instead of 1 s.

a_cancelled_run_whose_stop_is_lost_ends_with_its_lease failed before.

--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -93,6 +93,10 @@
     if (task->state != TASK_RUNNING || task->stop_us > now.us) {
         return;
     }
+    if (!task->stop_us) {
+        task->stop_limit_us =
+            Ag_RunLimit(agent, Tab_Handle(&agent->tasks, task));
+    }
     task->stop_us = now.us + AG_STOP_RETRY_US;
     struct act act = {.type = ACT_STOP};
     act.u.stop.task = Tab_Handle(&agent->tasks, task);
--- a/core/src/agent/orphan.c
+++ b/core/src/agent/orphan.c
@@ -80,6 +80,11 @@
         (task && !(task->flags & SUB_RESTART))) {
         return UINT64_MAX;
     }
+    if (task && task->stop_us) {
+        /* A stop order may be lost. That the entry is alive says nothing of a
+         * run that it has cancelled. */
+        return task->stop_limit_us;
+    }
     return task ? run_limit_us(agent, task->from) : 0;
 }
 
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -17,7 +17,7 @@
 /* Time until an unacknowledged stop is ordered again, doubled with each try up
  * to the maximum. */
 #define STOP_RETRY_MIN_US (50 * US_PER_MS)
-#define STOP_RETRY_MAX_US (1 * US_PER_S)
+#define STOP_RETRY_MAX_US (100 * US_PER_MS)
 
 struct rn_run *
 Rni_Find(const struct runner *runner, const struct rn_id *id)
--- /dev/null
+++ b/tests/test_second_start.c
@@ -0,0 +1,100 @@
+/* Further ways in which a task could run twice at a time: orders to stop that
+ * are lost, an outdated registry row, and an agent that can hold no start. */
+#include "caller.h"
+
+#define JOB_NAME 0x4692dca03af585dbull
+
+static struct net net;
+static struct net_node *entry;
+static struct net_node *agent;
+static uint32_t stops_to_lose;
+/* A stop order that waits for its reply, and when it times out. */
+static tab_handle lost_stop;
+static uint64_t lost_until_us;
+
+static int
+set_up(void **state)
+{
+    *state = &net;
+    Net_InitRestartable(&net);
+    net.lease_us = LEASE_MS * US_PER_MS;
+    agent = Net_AddWorker(&net, "worker-1");
+    agent->run_ms = -1;
+    entry = Net_AddEntry(&net, "entry-1");
+    Net_AddEntry(&net, "entry-2");
+    Net_Run(&net, 1500);
+    stops_to_lose = 0;
+    lost_stop = 0;
+    return 0;
+}
+
+static uint32_t
+running(uint64_t name)
+{
+    uint32_t count = 0;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        const struct net_run *run = &net.runs[i];
+        count += run->node && !run->is_over && run->job_name == name;
+    }
+    return count;
+}
+
+static struct key
+submit(struct net_node *node, conn_id conn, uint64_t name)
+{
+    struct net_job job = {name, 1, 1000, 60, 60000};
+    return Net_SubmitJob(node, conn, &job);
+}
+
+/* Loses the next `stops_to_lose` stop orders on their way. */
+static void
+lose_stops(void *context, const struct rn_act *act)
+{
+    if (act->type == RN_STOP && stops_to_lose > 0) {
+        stops_to_lose--;
+        lost_stop = act->run;
+        lost_until_us = net.now.us + 150 * US_PER_MS;
+        return;
+    }
+    net_on_order(context, act);
+}
+
+/* Runs for `ms`. Lost stop orders time out after 150 ms, as those of
+ * daemon/orders.c do at the latest. */
+static void
+run_for(uint32_t ms)
+{
+    for (uint32_t i = 0; i < ms; i++) {
+        Net_Run(&net, 1);
+        if (lost_stop && net.now.us >= lost_until_us) {
+            tab_handle run = lost_stop;
+            lost_stop = 0;
+            Rn_OnStopped(&agent->runner, net.now, run, RN_NO_ANSWER, 0);
+        }
+    }
+}
+
+/* Polls are answered meanwhile, and renew the lease of the run. */
+static void
+a_cancelled_run_whose_stop_is_lost_ends_with_its_lease(void **state)
+{
+    (void)state;
+    struct key key = submit(entry, 1, JOB_NAME);
+    run_for(300);
+    assert_int_equal(running(JOB_NAME), 1);
+    agent->runner.sink.emit = lose_stops;
+    stops_to_lose = 5;
+    Ent_OnCallerDisconnected(&entry->entry, 1, &key);
+    run_for(RESUBMIT_MS);
+    assert_int_equal(running(JOB_NAME), 0);
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
+    const struct CMUnitTest tests[] = {
+        TEST(a_cancelled_run_whose_stop_is_lost_ends_with_its_lease),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
