An outdated row does not end the membership of an agent that may run tasks

Found by review. An entry that had been paused for 740 ms and read the row of an agent's earlier process took the living agent for one that has ended, as it had not heard it for 728 ms: it waited for the lease only and placed the task again, while the first run went on, its agent hearing the entry again. An earlier process is now ignored until nothing can run at the later one (quiesce_us), as where a row is removed; the same for a frame of an earlier process.

an_outdated_row_does_not_place_a_task_a_second_time failed before.

--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -149,15 +149,15 @@
     }
 }
 
-/* Whether the row is that of an earlier process of the node, while messages
- * arrive from a later one. */
+/* Whether a row or a frame is of an earlier process of the node than `peer`,
+ * which may still run tasks of this entry. */
 static int
-is_row_outdated(const struct entry *entry, struct now now,
-                const struct ent_peer *peer, const struct ent_member *member)
+is_outdated(const struct entry *entry, struct now now,
+            const struct ent_peer *peer, uint64_t incarnation)
 {
     return entry->settings.keep_heard_members &&
-           peer->member.incarnation > member->incarnation &&
-           Enti_IsResponsive(entry, now, peer);
+           peer->member.incarnation > incarnation &&
+           now.us - peer->heard_us < entry->settings.timing.quiesce_us;
 }
 
 void
@@ -170,8 +170,7 @@
     if (!entry->settings.keep_heard_members ||
         Enti_FindPeer(entry, header->from) ||
         header->from == entry->settings.incarnation ||
-        (peer && peer->member.incarnation > header->from &&
-         Enti_IsResponsive(entry, now, peer))) {
+        (peer && is_outdated(entry, now, peer, header->from))) {
         return;
     }
     memcpy(member.node, header->node, sizeof(member.node));
@@ -223,7 +222,7 @@
              const struct ent_member *member)
 {
     struct ent_peer *peer = find_node(entry, member->node);
-    if (peer && is_row_outdated(entry, now, peer, member)) {
+    if (peer && is_outdated(entry, now, peer, member->incarnation)) {
         return;
     }
     if (peer && peer->member.incarnation == member->incarnation) {
--- a/tests/test_second_start.c
+++ b/tests/test_second_start.c
@@ -89,12 +89,62 @@
     assert_int_equal(running(JOB_NAME), 0);
 }
 
+/* The agent's process was restarted, and the entry heard of it before its row
+ * in the registry. The entry is then paused for longer than a link may be
+ * silent, but not for so long that the agent stops its tasks, and first reads
+ * the row of the agent's earlier process. */
+static void
+check_outdated_row(uint32_t phase_ms, uint32_t alive_ms)
+{
+    struct net_node *second;
+    struct ent_member outdated = agent->member;
+    Net_Kill(agent);
+    run_for(phase_ms);
+    agent = Net_AddAgentUnregistered(&net, "worker-1");
+    agent->capacity = (struct resources){8000, 1024, 0};
+    agent->run_ms = -1;
+    Ent_OnUnknownPeer(&entry->entry, net.now, &agent->header);
+    run_for(3000);
+    submit(entry, 1, JOB_NAME);
+    run_for(500);
+    assert_int_equal(Net_RunningAt(&net, agent), 1);
+    second = Net_AddWorker(&net, "worker-2");
+    second->run_ms = -1;
+    run_for(1000 + alive_ms);
+    entry->paused = 1;
+    run_for(740);
+    entry->paused = 0;
+    outdated.registered = ++net.version;
+    Ent_OnMember(&entry->entry, net.now, &outdated);
+    for (int ms = 0; ms < 3000; ms++) {
+        run_for(1);
+        if (running(JOB_NAME) > 1) {
+            fail_msg("started after %u ms, paused after %u ms: runs twice "
+                     "%d ms after the row",
+                     phase_ms, alive_ms, ms);
+        }
+    }
+}
+
+static void
+an_outdated_row_does_not_place_a_task_a_second_time(void **state)
+{
+    for (uint32_t phase_ms = 0; phase_ms < 360; phase_ms += 40) {
+        for (uint32_t alive_ms = 0; alive_ms < 360; alive_ms += 40) {
+            set_up(state);
+            check_outdated_row(phase_ms, alive_ms);
+            Net_Finish(&net);
+        }
+    }
+}
+
 int
 main(void)
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
     const struct CMUnitTest tests[] = {
         TEST(a_cancelled_run_whose_stop_is_lost_ends_with_its_lease),
+        cmocka_unit_test(an_outdated_row_does_not_place_a_task_a_second_time),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
