Unconfirmed cancellations precede starts as well

Found by review. A start names the agent's latest heartbeat, which tells the agent that its entry is alive, like the entry's heartbeats; but only these were preceded by the unconfirmed cancellations. After a cut of 391 ms from the entry to the agent the first message was the start of another job; when the entry was killed then, the run that it had cancelled went on beyond the time after which its caller submits again.

no_start_precedes_a_pending_cancellation failed before.

--- a/core/src/entry/cancel.h
+++ b/core/src/entry/cancel.h
@@ -25,7 +25,7 @@
                              const struct ent_peer *agent);
 
 /** Send the unconfirmed cancellations to an agent again. Called before each
- * heartbeat to it. */
+ * heartbeat and each start to it, which tell it that this entry is alive. */
 void Enti_ResendCancelsTo(struct entry *entry, const struct ent_peer *agent);
 
 /** Send all unconfirmed cancellations again, if that is due. */
--- a/core/src/entry/start.c
+++ b/core/src/entry/start.c
@@ -1,6 +1,7 @@
 /* Sends the message that starts a task at an agent. */
 #include <string.h>
 
+#include "cancel.h"
 #include "job.h"
 #include "peer.h"
 #include "place.h"
@@ -63,7 +64,10 @@
         (uint32_t)(Enti_EstimateRunUs(job->kind_stats, task->run_ms) /
                    US_PER_MS);
     const struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
-    start->agent_heartbeat_us = agent ? agent->heartbeat_echo_us : 0;
+    if (agent) {
+        start->agent_heartbeat_us = agent->heartbeat_echo_us;
+        Enti_ResendCancelsTo(entry, agent);
+    }
     task->sent_us = now.us;
     task->resend_us = now.us + START_RESEND_US;
     if (task->resend_us < job->next_resend_us) {
--- a/tests/test_second_start.c
+++ b/tests/test_second_start.c
@@ -3,6 +3,7 @@
 #include "caller.h"
 
 #define JOB_NAME 0x4692dca03af585dbull
+#define OTHER_NAME 0x4692dca03af50000ull
 
 static struct net net;
 static struct net_node *entry;
@@ -138,6 +139,51 @@
     }
 }
 
+/* Drops the messages of the first entry to the agent. */
+static enum net_verdict
+drop_to_agent(struct net *n, const struct net_node *from,
+              const struct net_node *to, const struct msg *msg)
+{
+    (void)n;
+    (void)msg;
+    return from == entry && to == agent ? NET_DROP : NET_PASS;
+}
+
+/* The agent does not hear the entry for `cut_ms`. The first message that it
+ * gets then is the start of another job, and the entry is killed. */
+static void
+check_start_before_cancellation(uint32_t alive_ms, uint32_t cut_ms)
+{
+    struct key key = submit(entry, 1, JOB_NAME);
+    run_for(alive_ms);
+    assert_int_equal(running(JOB_NAME), 1);
+    net.filter = drop_to_agent;
+    Ent_OnCallerDisconnected(&entry->entry, 1, &key);
+    run_for(cut_ms);
+    net.filter = NULL;
+    submit(entry, 2, OTHER_NAME);
+    run_for(3);
+    Net_Kill(entry);
+    run_for(RESUBMIT_MS - cut_ms - 3);
+    if (running(JOB_NAME)) {
+        fail_msg("alive for %u ms, cut for %u ms: still running", alive_ms,
+                 cut_ms);
+    }
+}
+
+static void
+no_start_precedes_a_pending_cancellation(void **state)
+{
+    for (uint32_t alive_ms = 600; alive_ms < 960; alive_ms += 40) {
+        for (uint32_t cut_ms = 300; cut_ms < 800; cut_ms += 13) {
+            set_up(state);
+            check_start_before_cancellation(alive_ms, cut_ms);
+            net.filter = NULL;
+            Net_Finish(&net);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -145,6 +191,7 @@
     const struct CMUnitTest tests[] = {
         TEST(a_cancelled_run_whose_stop_is_lost_ends_with_its_lease),
         cmocka_unit_test(an_outdated_row_does_not_place_a_task_a_second_time),
+        cmocka_unit_test(no_start_precedes_a_pending_cancellation),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
