A start behind another entry's run of its task is never carried out beside it

Found by review. An agent that held as many starts as it has slots carried out the start of a task that still ran there for another entry. A refusal would make the entry start the task elsewhere at once.

an_agent_that_can_hold_no_start_does_not_run_a_task_twice failed before.

--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -170,7 +170,7 @@
                     const struct msg_start *start);
 
 /** Hold a start until a slot is free and Agi_HasOtherRun() is false. Returns
- * -1 if the agent cannot hold another one. */
+ * -1 if the table of holds is full or memory cannot be allocated. */
 int Agi_Hold(struct agent *agent, struct now now, uint64_t from,
              const struct msg_start *start, struct ag_task *task);
 
--- a/core/src/agent/hold.c
+++ b/core/src/agent/hold.c
@@ -57,9 +57,6 @@
 Agi_Hold(struct agent *agent, struct now now, uint64_t from,
          const struct msg_start *start, struct ag_task *task)
 {
-    if (agent->held >= agent->upstream.slots) {
-        return -1;
-    }
     struct ag_hold *hold = Tab_Add(&agent->hold_table);
     if (!hold) {
         return -1;
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -189,9 +189,15 @@
 admit_task(struct agent *agent, struct now now, uint64_t from,
            const struct msg_start *start, struct ag_task *task)
 {
-    if (!task->job->cancelled && Agi_HasOtherRun(agent, task, start) &&
-        Agi_Hold(agent, now, from, start, task) == 0) {
-        CTR_INC(agent->counters, starts_held_for_run);
+    if (!task->job->cancelled && Agi_HasOtherRun(agent, task, start)) {
+        /* Not refused if it cannot be held: the entry would start the task
+         * elsewhere at once. It sends a start without an answer again. */
+        if (Agi_Hold(agent, now, from, start, task)) {
+            CTR_INC(agent->counters, actions_dropped);
+        }
+        else {
+            CTR_INC(agent->counters, starts_held_for_run);
+        }
         return;
     }
     /* Counting the task as running keeps Agi_HasTableSpace() from removing its
@@ -207,6 +213,7 @@
         return;
     }
     if (code == CODE_NO_SLOT && start->hold_ms > 0 &&
+        agent->held < agent->upstream.slots &&
         Agi_Hold(agent, now, from, start, task) == 0) {
         return;
     }
--- a/tests/test_second_start.c
+++ b/tests/test_second_start.c
@@ -7,6 +7,7 @@
 
 static struct net net;
 static struct net_node *entry;
+static struct net_node *other_entry;
 static struct net_node *agent;
 static uint32_t stops_to_lose;
 /* A stop order that waits for its reply, and when it times out. */
@@ -22,7 +23,7 @@
     agent = Net_AddWorker(&net, "worker-1");
     agent->run_ms = -1;
     entry = Net_AddEntry(&net, "entry-1");
-    Net_AddEntry(&net, "entry-2");
+    other_entry = Net_AddEntry(&net, "entry-2");
     Net_Run(&net, 1500);
     stops_to_lose = 0;
     lost_stop = 0;
@@ -139,6 +140,21 @@
     }
 }
 
+static void
+an_agent_that_can_hold_no_start_does_not_run_a_task_twice(void **state)
+{
+    (void)state;
+    submit(entry, 1, JOB_NAME);
+    run_for(100);
+    assert_int_equal(running(JOB_NAME), 1);
+    uint32_t slots = agent->agent.upstream.slots;
+    agent->agent.held = slots;
+    submit(other_entry, 2, JOB_NAME);
+    run_for(5);
+    agent->agent.held -= slots;
+    assert_int_equal(running(JOB_NAME), 1);
+}
+
 /* Drops the messages of the first entry to the agent. */
 static enum net_verdict
 drop_to_agent(struct net *n, const struct net_node *from,
@@ -191,6 +207,7 @@
     const struct CMUnitTest tests[] = {
         TEST(a_cancelled_run_whose_stop_is_lost_ends_with_its_lease),
         cmocka_unit_test(an_outdated_row_does_not_place_a_task_a_second_time),
+        TEST(an_agent_that_can_hold_no_start_does_not_run_a_task_twice),
         cmocka_unit_test(no_start_precedes_a_pending_cancellation),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
