Cancellations for an agent that is lost are forgotten

Found by review. The loss of an agent forgot its unconfirmed cancellations before its jobs were ended, which registered new ones: they were sent to a process that has ended for 1.3 s, logged as unconfirmed, and kept a stopping entry waiting. They are now forgotten afterwards.

no_cancellation_is_kept_for_an_agent_that_is_gone failed before.

--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -338,13 +338,13 @@
 {
     struct ent_service *service = agent->service;
     agent->leaving = 1;
-    Enti_ForgetAgentCancels(entry, agent);
     for (uint32_t i = entry->open_jobs; i-- > 0;) {
         if (i < entry->open_jobs &&
             entry->open_list[i]->state == ENT_JOB_OPEN) {
             on_job_tasks_lost(entry, now, entry->open_list[i], agent);
         }
     }
+    Enti_ForgetAgentCancels(entry, agent);
     agent->outstanding = 0;
     agent->used = (struct resources){0, 0, 0};
     agent->requests = 0;
--- a/tests/test_second_start.c
+++ b/tests/test_second_start.c
@@ -155,6 +155,24 @@
     assert_int_equal(running(JOB_NAME), 1);
 }
 
+/* The agent's process has ended, so there is nobody to confirm. */
+static void
+no_cancellation_is_kept_for_an_agent_that_is_gone(void **state)
+{
+    (void)state;
+    struct net_job job = {JOB_NAME, 1, 1000, 60, 700};
+    Net_SubmitJob(entry, 1, &job);
+    run_for(100);
+    assert_int_equal(running(JOB_NAME), 1);
+    Net_Kill(agent);
+    Net_AddWorker(&net, "worker-1");
+    run_for(50);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OUTCOME_UNKNOWN);
+    assert_null(entry->entry.cancelled_jobs);
+    run_for(2000);
+    assert_int_equal(net.counters.value[CTR_cancels_unconfirmed], 0);
+}
+
 /* Drops the messages of the first entry to the agent. */
 static enum net_verdict
 drop_to_agent(struct net *n, const struct net_node *from,
@@ -208,6 +226,7 @@
         TEST(a_cancelled_run_whose_stop_is_lost_ends_with_its_lease),
         cmocka_unit_test(an_outdated_row_does_not_place_a_task_a_second_time),
         TEST(an_agent_that_can_hold_no_start_does_not_run_a_task_twice),
+        TEST(no_cancellation_is_kept_for_an_agent_that_is_gone),
         cmocka_unit_test(no_start_precedes_a_pending_cancellation),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
