test_subset: the runs of a cancelled job end by its cancellation, not as orphans

Found by review: since the echo time-out is 975 ms, a_link_with_an_unconfirmed_ cancellation_is_kept passed also with the link closed.

--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -250,12 +250,14 @@
     Net_SubmitJob(entries[0], 1, &job);
     Net_Run(&net, 6000);
     assert_int_equal(count_running(), SUBSET_SIZE * 2);
+    uint64_t orphaned = net.counters.value[CTR_tasks_orphaned];
     net.filter = drop_all_cancels;
     Ent_CancelJobByName(&entries[0]->entry, FIRST_NAME);
     Net_Run(&net, 800);
     net.filter = NULL;
     Net_Run(&net, 150);
     assert_int_equal(count_running(), 0);
+    assert_int_equal(net.counters.value[CTR_tasks_orphaned], orphaned);
 }
 
 static void
