A task suspected of two crashes is given up, and its job failed

A task that crashed its upstream was placed again for as long as its deadline allowed, and its caller's next submission began from nothing.

The agent reports a crash, with the tasks that may have caused it, to all entries that it knows, before the ends of their runs, and repeats the report with its heartbeats for 1 s. Each entry counts the crashes under each suspect (job name and task number; at most 2,048, for 60 s). At the second the job is answered as failed, with CRASHES_WORKERS; so is a later submission of the job, at any entry that has heard of it. Where entries use subsets the owner of a suspect relays the report to the other entries. Tasks that were not suspected go back to their place in the queue, at once.

Not covered: a report is lost if the agent ends within the same moment as its upstream; and in a fleet with subsets, if the owner ends before it relays it, for the entries that the agent does not know.

--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -64,6 +64,8 @@
     X(JOB_CANCELLED, 2003, 409, CODE_PARTLY, "cancelled while running")       \
     X(LEASE_LAPSED, 2004, 502, CODE_PARTLY, "task outlived its lease")        \
     X(STALLED, 2005, 502, CODE_PARTLY, "a task made no progress")             \
+    X(CRASHES_WORKERS, 2006, 502, CODE_UNKNOWN,                               \
+      "workers crashed under a task")                                         \
     X(OUTCOME_UNKNOWN, 3001, 502, CODE_UNKNOWN, "outcome unknown")            \
     X(KEY_EXPIRED, 3002, 410, CODE_UNKNOWN,                                   \
       "idempotency key expired; an earlier outcome is no longer known")       \
--- a/core/include/core/act.h
+++ b/core/include/core/act.h
@@ -39,6 +39,10 @@
                                 tasks of the job. */
     LOG_EVENT_UNCONFIRMED, /**< An agent has not confirmed a cancellation,
                               which is sent no more. */
+    LOG_EVENT_SUSPECTED,   /**< An upstream has crashed under a task;
+                                `attempt` is how often. */
+    LOG_EVENT_GIVEN_UP,    /**< A task is not started any more: it crashes
+                                upstreams. */
 };
 
 /** A scheduling decision and the state that it was based on. */
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -101,6 +101,7 @@
     unsigned flags; /**< enum sub_flags, and START_IF_EJECTED. */
     struct resources need;
     uint64_t job_name; /**< The caller's name for the job, 0 for none. */
+    char kind[WIRE_NAME_SIZE]; /**< Of the job. */
     uint64_t lease_end_us;
     uint64_t stop_us;       /**< When to repeat the stop order, 0 if none was
                                  given. */
@@ -185,6 +186,15 @@
     UT_hash_handle hh;
 };
 
+/** Number of reports of crashes that are kept to be repeated. */
+#define AG_MAX_CRASHES 4
+
+/** A crash of the upstream. */
+struct ag_crash {
+    uint64_t at_us; /**< When it was noticed. */
+    struct msg_crash report;
+};
+
 /** Outcomes waiting to be sent together. */
 struct ag_outbox {
     uint32_t count;
@@ -220,6 +230,8 @@
                              follow: started by an earlier process, or of
                              unknown outcome. */
     struct ag_health health;
+    struct ag_crash crashes[AG_MAX_CRASHES]; /**< The latest ones. */
+    uint32_t crash_count;                    /**< Crashes so far. */
     struct tab hold_table;
     struct ag_hold *holds[PRIO_COUNT]; /**< Queues of held starts. */
     uint32_t held;                     /**< Number of held starts. */
@@ -293,6 +305,13 @@
  * itself again. */
 void Ag_OnUpstreamGone(struct agent *agent, struct now now);
 
+/** Handle a crash of the upstream, before the ends of its tasks. `tasks` are
+ * those that may have caused it; with `is_by_age`, as they began shortly
+ * before. */
+void Ag_OnUpstreamCrash(struct agent *agent, struct now now,
+                        const tab_handle *tasks, uint32_t count,
+                        int is_by_age);
+
 /** Send the agent's status to all known entries now. */
 void Ag_BroadcastStatus(struct agent *agent);
 
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -35,6 +35,44 @@
     ENT_BASELINE, /**< Random placement, no admission limit, fixed retries. */
 };
 
+/** Maximum number of suspects kept. */
+#define ENT_MAX_SUSPECTS 2048
+/** A task is given up, and its job failed, when upstreams have crashed under
+ * it this many times. */
+#define ENT_MAX_CRASHES 2
+
+/** A task is identified across entries and submissions by these. */
+struct ent_suspect_id {
+    uint64_t name; /**< The caller's name for the job. */
+    uint64_t task; /**< Number of the task in the job. */
+};
+
+/** A task under which upstreams have crashed. */
+struct ent_suspect {
+    struct tab_row row;
+    struct ent_suspect_id id;
+    uint32_t crashes;
+    uint64_t at_us; /**< When the latest one was reported. */
+    UT_hash_handle hh;
+};
+
+/** Number of crashes remembered to recognise repeated reports. */
+#define ENT_RECENT_CRASHES 64
+
+/** Identity of a crash. */
+struct ent_crash_id {
+    uint64_t agent; /**< Incarnation of the agent that reported it. */
+    uint32_t number;
+};
+
+/** Crashes of upstreams. */
+struct ent_crashes {
+    struct tab suspects;
+    struct ent_suspect *suspect_index;
+    struct ent_crash_id recent[ENT_RECENT_CRASHES];
+    uint32_t recent_next;
+};
+
 /** Settings of an entry. */
 struct ent_settings {
     enum ent_mode mode;
@@ -336,6 +374,7 @@
                                 service and a team. */
     struct ent_conf conf;
     struct ent_pressure pressure;
+    struct ent_crashes crashes;
 };
 
 /** Initialise an entry in memory provided by the caller. Returns 0, or -1 when
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -201,6 +201,8 @@
     uint64_t max_stop_us; /**< Longest time that a stop takes. */
     enum rn_phase phase;
     uint64_t born_ms;         /**< Start time of the upstream's instance. */
+    uint64_t crashed_born_ms; /**< Start time of the instance whose crash was
+                                   reported last. */
     uint64_t clock_ms;        /**< The upstream's clock as last received, 0 if
                                    not known. */
     uint64_t clock_us;        /**< This process's clock at that time. */
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -102,6 +102,7 @@
     msg.u.heartbeat.draining = agent->draining;
     Act_Send(&agent->sink, entry->incarnation, &msg);
     Agi_SendAgentStatus(agent, entry);
+    Agi_SendCrashes(agent, now, entry);
 }
 
 struct ag_entry *
--- a/core/src/agent/agent_impl.h
+++ b/core/src/agent/agent_impl.h
@@ -222,6 +222,13 @@
 void Agi_SendHeartbeat(struct agent *agent, struct now now,
                        struct ag_entry *entry);
 
+/* crash.c */
+
+/** Send the recent reports of crashes to an entry, again or for the first
+ * time. */
+void Agi_SendCrashes(struct agent *agent, struct now now,
+                     const struct ag_entry *entry);
+
 /* config.c */
 
 /** Send the version of the applied configuration, and when it was last known
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -1,5 +1,6 @@
 /* Handling of starts. The checks are made in the order given in
  * docs/DESIGN.md, section 2.2. */
+#include <string.h>
 #include <utlist.h>
 
 #include "agent_impl.h"
@@ -139,6 +140,7 @@
     task->code = CODE_OK;
     task->flags = start->flags;
     task->need = start->need;
+    memcpy(task->kind, start->kind, sizeof(task->kind));
     task->lease_end_us = now.us + start->lease_ms * US_PER_MS;
     if (start->flags & SUB_REQUEST) {
         agent->requests++;
--- /dev/null
+++ b/core/src/entry/crash.c
@@ -0,0 +1,174 @@
+/* Tasks under which upstreams crash. Most of the tasks that are suspected of a
+ * crash only began at the wrong time, so they run again; one that is suspected
+ * of a second crash is given up, and its job fails. All entries count, as the
+ * next submission of the job may come to any of them. */
+#include <string.h>
+
+#include "job.h"
+#include "peer.h"
+#include "subset.h"
+
+/* A suspect is forgotten this long after its latest crash, by when no caller
+ * submits its job again. */
+#define SUSPECT_LIFETIME_US (60 * US_PER_S)
+
+static struct ent_suspect *
+find_suspect(const struct entry *entry, uint64_t name, uint32_t task)
+{
+    struct ent_suspect_id id = {name, task};
+    struct ent_suspect *suspect;
+    HASH_FIND(hh, entry->crashes.suspect_index, &id, sizeof(id), suspect);
+    return suspect;
+}
+
+static void
+remove_suspect(struct ent_crashes *crashes, struct ent_suspect *suspect)
+{
+    HASH_DELETE(hh, crashes->suspect_index, suspect);
+    Tab_Remove(&crashes->suspects, suspect);
+}
+
+/* Find or add a suspect; the oldest one makes space, if there is none. */
+static struct ent_suspect *
+get_suspect(struct entry *entry, uint64_t name, uint32_t task)
+{
+    struct ent_crashes *crashes = &entry->crashes;
+    struct ent_suspect *suspect = find_suspect(entry, name, task);
+    if (suspect) {
+        return suspect;
+    }
+    suspect = Tab_Add(&crashes->suspects);
+    if (!suspect) {
+        /* The index keeps the order of insertion. */
+        remove_suspect(crashes, crashes->suspect_index);
+        suspect = Tab_Add(&crashes->suspects);
+    }
+    suspect->id = (struct ent_suspect_id){name, task};
+    HASH_ADD(hh, crashes->suspect_index, id, sizeof(suspect->id), suspect);
+    return suspect;
+}
+
+void
+Enti_ExpireSuspects(struct entry *entry, struct now now)
+{
+    uint32_t slot = 0;
+    struct ent_suspect *suspect;
+    while ((suspect = Tab_Next(&entry->crashes.suspects, &slot))) {
+        if (now.us - suspect->at_us > SUSPECT_LIFETIME_US) {
+            remove_suspect(&entry->crashes, suspect);
+        }
+    }
+}
+
+/* Reports are repeated and relayed. Returns whether this one is new. */
+static int
+record_crash(struct ent_crashes *crashes, const struct msg_crash *crash)
+{
+    for (uint32_t i = 0; i < ENT_RECENT_CRASHES; i++) {
+        if (crashes->recent[i].agent == crash->agent &&
+            crashes->recent[i].number == crash->number) {
+            return 0;
+        }
+    }
+    crashes->recent[crashes->recent_next++ % ENT_RECENT_CRASHES] =
+        (struct ent_crash_id){crash->agent, crash->number};
+    return 1;
+}
+
+static struct ent_task *
+find_task(const struct ent_job *job, uint32_t no)
+{
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        if (job->tasks[i].no == no) {
+            return &job->tasks[i];
+        }
+    }
+    return NULL;
+}
+
+int
+Enti_GiveUp(struct entry *entry, struct now now, struct ent_job *job)
+{
+    if (!job->name || !entry->crashes.suspect_index) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        struct ent_task *task = &job->tasks[i];
+        const struct ent_suspect *suspect =
+            find_suspect(entry, job->name, task->no);
+        if (suspect && suspect->crashes >= ENT_MAX_CRASHES) {
+            CTR_INC(entry->counters, tasks_given_up);
+            Enti_LogDecision(entry, now, LOG_EVENT_GIVEN_UP, job, task, NULL,
+                             CODE_CRASHES_WORKERS);
+            Enti_FailJob(entry, job, task, CODE_CRASHES_WORKERS);
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+count_suspect(struct entry *entry, struct now now,
+              const struct crash_suspect *reported)
+{
+    struct ent_suspect *suspect =
+        get_suspect(entry, reported->name, reported->task);
+    struct ent_job *job = Enti_FindJobByName(entry, reported->name);
+    suspect->crashes++;
+    suspect->at_us = now.us;
+    struct act_log_event event = {.type = LOG_EVENT_SUSPECTED,
+                                  .job = reported->name,
+                                  .task = reported->task,
+                                  .attempt = suspect->crashes,
+                                  .code = CODE_WORKER_CRASHED};
+    if (job && job->state == ENT_JOB_OPEN && find_task(job, reported->task)) {
+        Act_LogEvent(&entry->sink, &event);
+        Enti_GiveUp(entry, now, job);
+    }
+}
+
+static int
+owns_a_suspect(const struct entry *entry, const struct msg_crash *crash)
+{
+    for (uint32_t i = 0; i < crash->count; i++) {
+        if (Enti_FindJobByName(entry, crash->suspects[i].name)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* An agent reports to the entries that it is linked to. In a fleet with
+ * subsets those are not all, so the owner of a suspect tells the others. */
+static void
+relay(struct entry *entry, const struct msg_crash *crash)
+{
+    struct msg msg = {.type = MSG_CRASH};
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    msg.u.crash = *crash;
+    while ((peer = Tab_Next(&entry->peers, &slot))) {
+        if (peer->member.role == ROLE_ENTRY) {
+            Act_Send(&entry->sink, peer->member.incarnation, &msg);
+        }
+    }
+}
+
+void
+Enti_OnCrash(struct entry *entry, struct now now, const struct ent_peer *from,
+             const struct msg_crash *crash)
+{
+    if (!record_crash(&entry->crashes, crash)) {
+        return;
+    }
+    CTR_INC(entry->counters, crashes_reported);
+    if (from->member.role == ROLE_AGENT && Enti_UsesSubset(entry) &&
+        owns_a_suspect(entry, crash)) {
+        relay(entry, crash);
+    }
+    for (uint32_t i = 0; i < crash->count; i++) {
+        if (crash->suspects[i].name) {
+            count_suspect(entry, now, &crash->suspects[i]);
+        }
+    }
+}
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -45,6 +45,8 @@
                  ENT_MAX_USAGES) ||
         Tab_Init(&entry->sched.kinds, sizeof(struct ent_kind_stats),
                  ENT_MAX_KINDS) ||
+        Tab_Init(&entry->crashes.suspects, sizeof(struct ent_suspect),
+                 ENT_MAX_SUSPECTS) ||
         Tab_Init(&entry->jobs, sizeof(struct ent_job),
                  settings->job_capacity)) {
         Ent_Finish(entry);
@@ -76,6 +78,8 @@
     Tab_Finish(&entry->sched.usages);
     Tab_Finish(&entry->sched.shares);
     Tab_Finish(&entry->sched.kinds);
+    HASH_CLEAR(hh, entry->crashes.suspect_index);
+    Tab_Finish(&entry->crashes.suspects);
     HASH_CLEAR(hh, entry->query_index);
     Tab_Finish(&entry->queries);
     free(entry->open_list);
@@ -177,6 +181,9 @@
     case MSG_VERSION:
         Enti_OnVersion(entry, now, peer, &msg->u.version);
         break;
+    case MSG_CRASH:
+        Enti_OnCrash(entry, now, peer, &msg->u.crash);
+        break;
     default:
         break;
     }
@@ -327,6 +334,7 @@
     if (now.us >= entry->next_issuer_expiry_us) {
         entry->next_issuer_expiry_us = now.us + ISSUER_EXPIRY_INTERVAL_US;
         Enti_ExpireIssuers(entry, now);
+        Enti_ExpireSuspects(entry, now);
     }
     /* Agents ignore cancellations of an earlier owner. */
     if (entry->draining && entry->open_jobs == 0 && !entry->cancelled_jobs) {
--- a/core/src/entry/job.h
+++ b/core/src/entry/job.h
@@ -130,6 +130,20 @@
 int Enti_Retry(struct entry *entry, struct now now, struct ent_job *job,
                struct ent_task *task, enum code code);
 
+/* crash.c */
+
+/** Count a crash of an upstream under the suspects, and give up the jobs of
+ * those that have caused ENT_MAX_CRASHES. */
+void Enti_OnCrash(struct entry *entry, struct now now,
+                  const struct ent_peer *from, const struct msg_crash *crash);
+
+/** Answer a job with CODE_CRASHES_WORKERS if upstreams have crashed
+ * ENT_MAX_CRASHES times under one of its tasks. Returns whether it did. */
+int Enti_GiveUp(struct entry *entry, struct now now, struct ent_job *job);
+
+/** Forget the suspects whose latest crash is long ago. */
+void Enti_ExpireSuspects(struct entry *entry, struct now now);
+
 /* submit.c */
 
 /** Process a submission from a caller connected here (`from` is 0) or
@@ -164,6 +178,10 @@
 void Enti_SendToAgents(struct entry *entry, const struct ent_job *job,
                        const struct msg *msg);
 
+/** Stop the job's tasks and answer it with `code`, which `task` has caused. */
+void Enti_FailJob(struct entry *entry, struct ent_job *job,
+                  const struct ent_task *task, enum code code);
+
 /* decision_log.c */
 
 /** Log a decision on a restartable job or on a task of it; does nothing for
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -60,9 +60,9 @@
     Enti_SendToAgents(entry, job, &msg);
 }
 
-static void
-fail_job(struct entry *entry, struct ent_job *job, const struct ent_task *task,
-         enum code code)
+void
+Enti_FailJob(struct entry *entry, struct ent_job *job,
+             const struct ent_task *task, enum code code)
 {
     char detail[WIRE_ADDR_SIZE];
     snprintf(detail, sizeof(detail), "task %u", task->no);
@@ -76,7 +76,7 @@
 {
     void *copy = malloc(output.size ? output.size : 1);
     if (!copy) {
-        fail_job(entry, job, task, CODE_ANSWER_GONE);
+        Enti_FailJob(entry, job, task, CODE_ANSWER_GONE);
         return;
     }
     if (output.size) {
@@ -107,7 +107,7 @@
     }
     if ((job->flags & required) != required ||
         job->unknown_retries >= ENT_MAX_UNKNOWN_RETRIES) {
-        fail_job(entry, job, task, code);
+        Enti_FailJob(entry, job, task, code);
         return;
     }
     job->unknown_retries++;
@@ -140,7 +140,7 @@
     }
     Ctr_CountCode(entry->counters, result->code);
     if (result->code == CODE_CANCELLED) {
-        fail_job(entry, job, task, CODE_JOB_CANCELLED);
+        Enti_FailJob(entry, job, task, CODE_JOB_CANCELLED);
         return;
     }
     if (Code_Run(result->code) != CODE_NOT_RUN) {
@@ -194,11 +194,11 @@
             on_outcome_unknown(entry, now, job, task, result->code);
         }
         else {
-            fail_job(entry, job, task, result->code);
+            Enti_FailJob(entry, job, task, result->code);
         }
         break;
     case TASK_DISCARDED:
-        fail_job(entry, job, task, CODE_ANSWER_GONE);
+        Enti_FailJob(entry, job, task, CODE_ANSWER_GONE);
         break;
     }
 }
@@ -287,6 +287,10 @@
     else {
         CTR_INC(entry->counters, result_stale);
     }
+    if (!service && job) {
+        /* The upstream is gone, and its tasks are placed elsewhere. */
+        service = job->service;
+    }
     /* Also of an ended job: the agent does not report this load again. */
     update_agent_use(agent, result);
     send_result_ack(entry, agent, result, job);
--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -16,6 +16,9 @@
 {
     Enti_SetState(entry, job, ENT_JOB_OPEN);
     job->service = Enti_GetService(entry, job->service_name, 0);
+    if (Enti_GiveUp(entry, now, job)) {
+        return;
+    }
     if (!Enti_HasStarted(job)) {
         enum code code = Enti_Admit(entry, now, job);
         if (code != CODE_OK) {
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -5,26 +5,27 @@
  * began within this time before the crash are suspected of it. */
 #define SUSPECT_AGE_US (40 * US_PER_MS)
 
-/* Age of a run when the upstream crashed. A poll is pending all the time while
- * there are runs, so the first one that failed shows the time. */
+/* When the upstream crashed. A poll is pending all the time while there are
+ * runs, so the first one that failed shows it. */
 static uint64_t
-age_us(const struct runner *runner, struct now now, const struct rn_run *run)
+crash_us(const struct runner *runner, struct now now)
 {
-    uint64_t end_us = runner->poll_failures ? runner->silent_from_us : now.us;
-    return end_us > run->ordered_us ? end_us - run->ordered_us : 0;
+    return runner->poll_failures ? runner->silent_from_us : now.us;
 }
 
 static uint32_t
 collect_suspects(const struct runner *runner, struct now now,
                  struct rn_suspect *suspects, uint64_t max_age_us)
 {
+    uint64_t end_us = crash_us(runner, now);
     uint32_t slot = 0;
     uint32_t count = 0;
     const struct rn_run *run;
     while (count < RN_MAX_SUSPECTS && (run = Tab_Next(&runner->runs, &slot))) {
-        uint64_t age = age_us(runner, now, run);
-        if (run->task && age <= max_age_us) {
-            suspects[count++] = (struct rn_suspect){run->id, run->task, age};
+        if (run->task && run->ordered_us <= end_us &&
+            end_us - run->ordered_us <= max_age_us) {
+            suspects[count++] = (struct rn_suspect){run->id, run->task,
+                                                    end_us - run->ordered_us};
         }
     }
     return count;
@@ -35,6 +36,10 @@
 {
     struct rn_suspect suspects[RN_MAX_SUSPECTS];
     struct rn_act act = {.type = RN_CRASH, .suspects = suspects};
+    if (runner->crashed_born_ms == runner->born_ms) {
+        return;
+    }
+    runner->crashed_born_ms = runner->born_ms;
     act.suspect_count =
         collect_suspects(runner, now, suspects, SUSPECT_AGE_US);
     act.is_by_age = act.suspect_count > 0;
--- a/daemon/log_event.c
+++ b/daemon/log_event.c
@@ -23,6 +23,10 @@
         return "Agent has not confirmed a cancellation in time.";
     case LOG_EVENT_CANCELLED:
         return "Job cancelled: its tasks are stopped.";
+    case LOG_EVENT_SUSPECTED:
+        return "Task is suspected of a crash.";
+    case LOG_EVENT_GIVEN_UP:
+        return "Task is given up: upstreams crashed under it.";
     }
     return "";
 }
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -170,6 +170,7 @@
 static void
 on_crash(struct orders *orders, const struct rn_act *act)
 {
+    tab_handle tasks[RN_MAX_SUSPECTS];
     CTR_INC(orders->counters, upstream_crashes);
     LOG_WARN(
         "upstream",
@@ -185,7 +186,10 @@
                  " task=%u run=%u age_us=%" PRIu64,
                  suspect->id.job, suspect->id.task, suspect->id.number,
                  suspect->age_us);
+        tasks[i] = suspect->task;
     }
+    Ag_OnUpstreamCrash(orders->core, Loop_Now(), tasks, act->suspect_count,
+                       act->is_by_age);
 }
 
 static void
--- a/tests/net.h
+++ b/tests/net.h
@@ -71,16 +71,53 @@
     }
 }
 
+/** Crash the upstream of `node`. Tasks that began at most 40 ms before are
+ * suspected of it; all, if there are none. */
+static void
+Net_Crash(struct net_node *node)
+{
+    struct net *net = node->net;
+    tab_handle tasks[NET_MAX_RUNNING];
+    tab_handle suspects[NET_MAX_RUNNING];
+    uint32_t count = 0;
+    uint32_t young = 0;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        struct net_run *run = &net->runs[i];
+        if (run->node != node) {
+            continue;
+        }
+        run->node = NULL;
+        tasks[count++] = run->task;
+        if (net->now.us - run->start_us <= 40 * US_PER_MS) {
+            suspects[young++] = run->task;
+        }
+    }
+    node->crashes++;
+    node->away_until_us = net->now.us + NET_AWAY_MS * US_PER_MS;
+    Ag_OnUpstreamGone(&node->agent, net->now);
+    Ag_OnUpstreamCrash(&node->agent, net->now, young ? suspects : tasks,
+                       young ? young : count, young > 0);
+    for (uint32_t i = 0; i < count; i++) {
+        Ag_OnTaskEnd(&node->agent, net->now, tasks[i], CODE_WORKER_CRASHED,
+                     (struct bytes){NULL, 0}, 0);
+    }
+}
+
 static void
 net_end_tasks(struct net *net)
 {
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
         struct net_run *run = &net->runs[i];
         if (!run->node || run->node->paused ||
-            (run->end_us > net->now.us && !run->stopped)) {
+            (run->end_us > net->now.us && !run->stopped &&
+             (!run->crash_us || run->crash_us > net->now.us))) {
             continue;
         }
         struct net_node *node = run->node;
+        if (run->crash_us && run->crash_us <= net->now.us && !run->stopped) {
+            Net_Crash(node);
+            continue;
+        }
         uint32_t output = 0x11223344;
         enum code code =
             run->stopped ? CODE_TASK_FAILED : (enum code)node->end_code;
@@ -121,7 +158,8 @@
             announce.slots = NET_MAX_RUNNING;
             announce.running = 0;
         }
-        int is_announcing = net->now.us / 1000 % 500 == 0;
+        int is_announcing = net->now.us / 1000 % 500 == 0 &&
+                            net->now.us >= node->away_until_us;
         if (is_announcing) {
             Ag_OnAnnounce(&node->agent, net->now, &announce);
         }
--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -26,6 +26,10 @@
 #define NET_MAX_ORDERS 64
 /** Start time of all upstreams, milliseconds since 1970. */
 #define NET_BORN_MS 7000
+/** Time from the start of a deadly task to the crash, and the time for which
+ * an upstream is away after it. */
+#define NET_CRASH_MS 10
+#define NET_AWAY_MS 3300
 #define NET_UNUSED __attribute__((unused))
 
 struct net;
@@ -55,6 +59,8 @@
     int run_ms;   /**< Run time of its tasks; below 0 they never end. */
     int end_code; /**< Code with which its tasks end. */
     int leaving;  /**< The upstream accepts no new tasks. */
+    uint64_t away_until_us;    /**< Its upstream has crashed and is away. */
+    uint32_t crashes;          /**< Of its upstream. */
     struct resources capacity; /**< Of its upstream; if all 0, it has slots. */
     struct labels labels;      /**< Of its upstream. */
     uint8_t linked[NET_MAX_NODES]; /**< Which nodes it has a connection to;
@@ -83,6 +89,7 @@
     uint32_t no;       /**< Number of the task in the job. */
     uint64_t start_us;
     uint64_t end_us;
+    uint64_t crash_us; /**< When it crashes the upstream, 0 for never. */
     int stopped;
     /** Used if `net.lease_us` is not 0: */
     struct rn_id id;
@@ -128,7 +135,10 @@
     enum net_verdict (*filter)(struct net *net, const struct net_node *from,
                                const struct net_node *to,
                                const struct msg *msg);
-    int filter_arg;         /**< For use by `filter`. */
+    int filter_arg; /**< For use by `filter`. */
+    /** Tells which tasks crash the upstream NET_CRASH_MS after their start;
+     * NULL for none. */
+    int (*is_deadly)(const struct msg_start *start);
     struct timing timing;   /**< Of nodes added from now on; all 0: default. */
     int keep_heard_members; /**< Setting of entries added from now on. */
     uint32_t subset_size;   /**< The same. */
@@ -221,7 +231,11 @@
         Rn_Start(&node->runner, net->now, run->task, run->start);
         return;
     }
-    net_add_run(node, run->task, run->start->name, run->start->task);
+    struct net_run *added =
+        net_add_run(node, run->task, run->start->name, run->start->task);
+    if (net->is_deadly && net->is_deadly(run->start)) {
+        added->crash_us = net->now.us + NET_CRASH_MS * US_PER_MS;
+    }
 }
 
 static void
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -297,6 +297,7 @@
     assert_int_equal(suspect_count, 1);
     assert_int_equal(first_suspect, 2);
     assert_true(is_by_age);
+    born_ms++;
     announce();
     start_task(3, 1, 0);
     start_task(4, 1, 0);
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -203,6 +203,7 @@
     MSG_HANDOVER_ACK,
     MSG_VERSION,
     MSG_USAGE,
+    MSG_CRASH,
 };
 
 /** MSG_HEARTBEAT, between two entries or an entry and an agent. */
@@ -422,6 +423,27 @@
     struct usage_item items[WIRE_MAX_USAGE];
 };
 
+/** Maximum number of suspects in one MSG_CRASH. */
+#define WIRE_MAX_SUSPECTS 32
+
+/** A task that may have caused a crash. */
+struct crash_suspect {
+    uint64_t name;             /**< The caller's name for its job. */
+    uint32_t task;             /**< Number of the task in the job. */
+    char kind[WIRE_NAME_SIZE]; /**< Of the job. */
+};
+
+/** MSG_CRASH, agent to entry, and entry to entry: an upstream has crashed. */
+struct msg_crash {
+    uint64_t agent;    /**< Incarnation of the upstream's agent. */
+    uint32_t number;   /**< Of the crash at this agent, from 1. */
+    uint8_t is_by_age; /**< The suspects began shortly before the crash; else
+                            they are all tasks that ran there. */
+    char service[WIRE_NAME_SIZE];
+    uint32_t count;
+    struct crash_suspect suspects[WIRE_MAX_SUSPECTS];
+};
+
 /** A message; `type` selects the member of the union. */
 struct msg {
     enum msg_type type;
@@ -444,6 +466,7 @@
         struct msg_handover_ack handover_ack;
         struct msg_version version;
         struct msg_usage usage;
+        struct msg_crash crash;
     } u;
 };
 
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -250,6 +250,22 @@
     }
 }
 
+static void
+put_crash(msgpack_packer *pk, const struct msg_crash *m)
+{
+    msgpack_pack_array(pk, 5 + 3 * (size_t)m->count);
+    put_uint(pk, MSG_CRASH);
+    put_uint(pk, m->agent);
+    put_uint(pk, m->number);
+    put_uint(pk, m->is_by_age);
+    put_str(pk, m->service);
+    for (uint32_t i = 0; i < m->count; i++) {
+        put_uint(pk, m->suspects[i].name);
+        put_uint(pk, m->suspects[i].task);
+        put_str(pk, m->suspects[i].kind);
+    }
+}
+
 static void
 put_msg(msgpack_packer *pk, const struct msg *msg)
 {
@@ -330,6 +346,9 @@
     case MSG_VERSION:
         put_version(pk, &msg->u.version);
         break;
+    case MSG_CRASH:
+        put_crash(pk, &msg->u.crash);
+        break;
     }
 }
 
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -350,13 +350,34 @@
     }
 }
 
+static void
+get_crash(struct cursor *c, struct msg_crash *m)
+{
+    m->agent = take_u64(c);
+    m->number = take_u32(c);
+    m->is_by_age = (uint8_t)take_uint(c, 1);
+    take_str(c, m->service, sizeof(m->service));
+    uint32_t count = c->left / 3;
+    if (c->left % 3 != 0 || count > WIRE_MAX_SUSPECTS) {
+        c->failed = 1;
+        return;
+    }
+    m->count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        struct crash_suspect *suspect = &m->suspects[i];
+        suspect->name = take_u64(c);
+        suspect->task = take_u32(c);
+        take_str(c, suspect->kind, sizeof(suspect->kind));
+    }
+}
+
 int
 Unpk_Msg(const msgpack_object *object, struct msg *msg, struct arena *arena)
 {
     struct cursor outer = {object, 1, 0};
     struct cursor c = take_array(&outer);
     memset(msg, 0, sizeof(*msg));
-    msg->type = (enum msg_type)take_uint(&c, MSG_USAGE);
+    msg->type = (enum msg_type)take_uint(&c, MSG_CRASH);
     switch (msg->type) {
     case MSG_HEARTBEAT:
         get_heartbeat(&c, &msg->u.heartbeat);
@@ -423,6 +444,9 @@
     case MSG_VERSION:
         get_version(&c, &msg->u.version);
         break;
+    case MSG_CRASH:
+        get_crash(&c, &msg->u.crash);
+        break;
     default:
         return -1;
     }
