A start without an answer is not suspected of a crash

It was counted as the second crash.

Only runs that are known to have begun are suspected.

Test: start_without_an_answer_is_not_suspected (2 suspects instead of 1 before).

--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -13,6 +13,7 @@
     return runner->poll_failures ? runner->silent_from_us : now.us;
 }
 
+/* A run whose start was not acknowledged may never have begun. */
 static uint32_t
 collect_suspects(const struct runner *runner, struct now now,
                  struct rn_suspect *suspects, uint64_t max_age_us)
@@ -22,7 +23,7 @@
     uint32_t count = 0;
     const struct rn_run *run;
     while (count < RN_MAX_SUSPECTS && (run = Tab_Next(&runner->runs, &slot))) {
-        if (run->task && run->ordered_us <= end_us &&
+        if (run->task && run->was_running && run->ordered_us <= end_us &&
             end_us - run->ordered_us <= max_age_us) {
             suspects[count++] = (struct rn_suspect){run->id, run->task,
                                                     end_us - run->ordered_us};
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -307,6 +307,21 @@
     assert_false(is_by_age);
 }
 
+/* It may never have begun, and its task would be given up without cause. */
+static void
+start_without_an_answer_is_not_suspected(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    announce();
+    start_task(1, 1, 0);
+    run_for(600);
+    start_task(2, 1, 0);
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    assert_int_equal(suspect_count, 1);
+    assert_int_equal(first_suspect, 1);
+}
+
 static void
 refused_run_number_is_raised(void **state)
 {
@@ -427,6 +442,7 @@
         TEST(runs_of_a_crashed_upstream_end_at_once),
         TEST(refusal_by_an_earlier_instance_ends_no_run),
         TEST(runs_that_began_before_a_crash_are_suspected),
+        TEST(start_without_an_answer_is_not_suspected),
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
