Tasks that may crash upstreams are confined to a part of the agents

Crashes are counted by kind (service and kind of job): the kinds of the tasks that began shortly before. Crashes within 50 ms of each other count once, as the loss of a rack. After two crashes, no more than 5 s apart, the kind that is suspected most is confined, until 5 s after the last crash; suspects of other kinds are then not counted, as the confined one explains the crash. Confined tasks, and all suspects, run only at a quarter of the service's agents, one job at a time at each (the agent refuses others, START_CONFINED), and a suspect only where another such agent is idle. Other jobs avoid these agents while others have room. The agents are chosen by rendezvous hash over those of the service, whether their upstreams are up or not, so that all entries choose the same ones and the harm does not move on. A job that would wait in confinement behind as many others as may run is refused at once, to be sent again in 2 s.

Agents repeat the report of a crash for 5 s, with its age, so that an entry that starts knows what to confine.

Tests: a_kind_that_crashes_upstreams_reaches_few_of_them and an_entry_that_starts_learns_which_kinds_are_confined; both fail if no kind is confined.

Not served meanwhile: a confined job that needs a label which none of these agents has.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -65,6 +65,7 @@
     X(upstream_crashes, "crashes of the upstream")                            \
     X(runs_crashed, "runs that ended with a crash of the upstream")           \
     X(crashes_reported, "crashes of upstreams that agents have reported")     \
+    X(kinds_confined, "times that a kind of job was confined")                \
     X(tasks_given_up, "tasks given up because upstreams crashed under them")  \
     X(beats_old, "outdated heartbeats received from an upstream")             \
     X(beats_bad, "malformed heartbeats received from an upstream")            \
--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -98,7 +98,7 @@
     enum task_state state;
     enum code code;
     uint32_t run_us;
-    unsigned flags; /**< enum sub_flags, and START_IF_EJECTED. */
+    unsigned flags; /**< enum sub_flags and START_*. */
     struct resources need;
     uint64_t job_name; /**< The caller's name for the job, 0 for none. */
     char kind[WIRE_NAME_SIZE]; /**< Of the job. */
--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -71,6 +71,8 @@
     struct ent_suspect *suspect_index;
     struct ent_crash_id recent[ENT_RECENT_CRASHES];
     uint32_t recent_next;
+    uint64_t next_choice_us; /**< When the agents for confined tasks are next
+                                  chosen. */
 };
 
 /** Settings of an entry. */
@@ -153,7 +155,9 @@
                                  probably not the workers. */
     uint32_t fast_slots;    /**< Slots of usable agents that are not slow. */
     uint32_t waiting;       /**< Tasks waiting in the queues. */
-    struct policy policy;   /**< In force for the service. */
+    uint64_t confined_until_us; /**< Until then suspects are confined, and
+                                     kinds may be. */
+    struct policy policy;       /**< In force for the service. */
     UT_hash_handle hh;
 };
 
@@ -184,7 +188,15 @@
     enum ent_link link;
     uint8_t in_subset; /**< This entry is a home entry of the agent. */
     uint8_t draining;
-    struct ent_service *service;  /**< NULL for entries. */
+    struct ent_service *service;            /**< NULL for entries. */
+    const struct ent_service *last_service; /**< Also while the upstream is
+                                                 away. */
+    uint8_t for_confined;       /**< Confined tasks of the service run here. */
+    uint64_t confined_job;      /**< Name of the job whose confined tasks this
+                                     entry has sent to it. */
+    uint32_t confined_tasks;    /**< Number of these. */
+    uint64_t confined_retry_us; /**< Until then other entries' confined tasks
+                                     are taken to run there. */
     struct ent_peer *prev, *next; /**< In the service's list of agents. */
     uint32_t slots;       /**< Task slots of its upstream; agents only, like
                                the following. */
--- a/core/include/core/job.h
+++ b/core/include/core/job.h
@@ -34,6 +34,7 @@
                               confirmed that the task does not run. */
     uint8_t may_wait;    /**< The agent may hold the start until a slot is
                               free. */
+    uint8_t is_confined; /**< The start was sent with START_CONFINED. */
     uint32_t failures;   /**< Runs that ended with CODE_TASK_FAILED. */
     uint32_t attempt;    /**< Number of the latest start, from 1. */
     uint64_t agent;      /**< Incarnation of the agent that it was last sent
@@ -132,6 +133,7 @@
     uint8_t answer_read;      /**< A caller has read the answer, and the
                                    agents were told. */
     uint8_t in_name_index;    /**< Is in the index by caller's name. */
+    uint8_t is_suspect;       /**< An upstream has crashed under a task. */
     uint8_t is_late;          /**< It can no longer end by its objective. */
     enum code code;           /**< Of the answer, in ENT_JOB_ANSWERED. */
     uint64_t not_before_us; /**< Its tasks are not placed before this time. */
--- a/core/src/agent/crash.c
+++ b/core/src/agent/crash.c
@@ -6,8 +6,8 @@
 #include "agent_impl.h"
 
 /* A report is repeated with the heartbeats for this long, as messages may be
- * lost. Callers submit again later than this allows to be noticed. */
-#define REPEAT_US (1 * US_PER_S)
+ * lost, and an entry that starts must learn which tasks to confine. */
+#define REPEAT_US (5 * US_PER_S)
 
 static void
 add_suspect(struct msg_crash *report, const struct ag_task *task)
@@ -19,11 +19,12 @@
 }
 
 static void
-send_report(struct agent *agent, const struct ag_entry *entry,
+send_report(struct agent *agent, struct now now, const struct ag_entry *entry,
             const struct ag_crash *crash)
 {
     struct msg msg = {.type = MSG_CRASH};
     msg.u.crash = crash->report;
+    msg.u.crash.age_ms = (uint32_t)((now.us - crash->at_us) / US_PER_MS);
     Act_Send(&agent->sink, entry->incarnation, &msg);
 }
 
@@ -34,7 +35,7 @@
     for (uint32_t i = 0; i < AG_MAX_CRASHES; i++) {
         const struct ag_crash *crash = &agent->crashes[i];
         if (crash->at_us && now.us - crash->at_us < REPEAT_US) {
-            send_report(agent, entry, crash);
+            send_report(agent, now, entry, crash);
         }
     }
 }
@@ -66,6 +67,6 @@
         }
     }
     while ((entry = Tab_Next(&agent->entries, &slot))) {
-        send_report(agent, entry, crash);
+        send_report(agent, now, entry, crash);
     }
 }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -63,6 +63,20 @@
     return order < 0 || (order == 0 && start->attempt <= task->attempt);
 }
 
+/* True if a confined task of another job is running. */
+static int
+has_confined(const struct agent *agent, uint64_t job_name)
+{
+    const struct ag_task *task;
+    DL_FOREACH2(agent->running, task, following)
+    {
+        if (task->flags & START_CONFINED && task->job_name != job_name) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 enum code
 Agi_CheckAdmission(struct agent *agent, struct now now, uint64_t from,
                    const struct msg_start *start)
@@ -98,6 +112,9 @@
         uint32_t used = agent->busy + agent->untracked + agent->requests;
         return used < agent->upstream.connections ? CODE_OK : CODE_NO_SLOT;
     }
+    if (start->flags & START_CONFINED && has_confined(agent, start->name)) {
+        return CODE_NO_SLOT;
+    }
     uint32_t used = agent->busy + agent->untracked;
     if (used >= agent->upstream.slots || !Agi_Fits(agent, &start->need)) {
         return CODE_NO_SLOT;
--- a/core/src/entry/admit.c
+++ b/core/src/entry/admit.c
@@ -17,6 +17,9 @@
 #define MIN_RETRY_MS 100
 #define MAX_RETRY_MS 10000
 
+/* Retry time given to a caller whose job is of a kind that is confined. */
+#define CONFINED_RETRY_US (2 * US_PER_S)
+
 /* Slots of the usable agents of the service that are not taken by tasks of
  * other entries; 0 if no agent is usable, as when none was heard recently. */
 static double
@@ -189,6 +192,9 @@
     if (entry->settings.mode == ENT_BASELINE) {
         return CODE_OK;
     }
+    if (Enti_IsConfined(now, job) && Enti_IsConfinementFull(entry, now, job)) {
+        return refuse(entry, job, CODE_QUEUE_FULL, CONFINED_RETRY_US);
+    }
     policy = Enti_Policy(entry, job->service_name, job->team);
     uint64_t limit_us = (uint64_t)policy->value[POL_QUEUE_WAIT_MS] * US_PER_MS;
     struct ent_estimate estimate = Enti_Estimate(entry, now, job);
--- a/core/src/entry/agent_selection.c
+++ b/core/src/entry/agent_selection.c
@@ -163,6 +163,8 @@
         job->preferred_agent ? Enti_FindPeer(entry, job->preferred_agent)
                              : NULL;
     if (!preferred || preferred->service != job->service ||
+        Enti_IsBarred(entry, now, job, preferred) ||
+        (!Enti_IsConfined(now, job) && Enti_IsForConfined(now, preferred)) ||
         step_capacity(now, preferred, job, step) <= LOW_CAPACITY ||
         !Enti_IsUsable(entry, now, preferred) ||
         !may_run(preferred, job, step) ||
@@ -173,13 +175,14 @@
     return preferred;
 }
 
-/* Classes of agents in order of preference; the ones up to NEARLY_FULL are
+/* Classes of agents in order of preference; the ones up to ENDANGERED are
  * used without conditions. */
 enum {
     PREFERRED_RACK,
     LOCAL,       /* In this entry's data centre. */
     REMOTE,      /* In another data centre. */
     NEARLY_FULL, /* The same, with LOW_CAPACITY free slots or fewer. */
+    ENDANGERED,  /* For confined tasks, while this one is not. */
     SLOW,
     OVERCOMMITTED, /* No free slot, but may hold a start. */
     CLASS_COUNT,
@@ -212,6 +215,7 @@
     const struct ent_peer *first =
         step->spec.prefer_one_rack ? Enti_FindPeer(entry, job->preferred_agent)
                                    : NULL;
+    int is_confined = Enti_IsConfined(now, job);
     DL_FOREACH(job->service->agents, agent)
     {
         uint32_t capacity = step_capacity(now, agent, job, step);
@@ -220,7 +224,8 @@
             extra = overcommit_capacity(entry, now, job->service, agent);
         }
         if (capacity + extra == 0 || !Enti_IsUsable(entry, now, agent) ||
-            !may_run(agent, job, step)) {
+            !may_run(agent, job, step) ||
+            Enti_IsBarred(entry, now, job, agent)) {
             continue;
         }
         if (extra) {
@@ -234,12 +239,15 @@
         if (is_on_preferred_rack(agent, step, first)) {
             index = PREFERRED_RACK;
         }
+        if (!is_confined && Enti_IsForConfined(now, agent)) {
+            index = ENDANGERED;
+        }
         if (Enti_IsSlow(entry, now, agent)) {
             index = SLOW;
         }
         consider(entry, &candidates[index], agent, capacity, index == LOCAL);
     }
-    for (int i = PREFERRED_RACK; i <= NEARLY_FULL; i++) {
+    for (int i = PREFERRED_RACK; i <= ENDANGERED; i++) {
         if (candidates[i].agent) {
             return candidates[i].agent;
         }
--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -6,12 +6,16 @@
 
 #include "job.h"
 #include "peer.h"
+#include "place.h"
 #include "subset.h"
 
 /* A suspect is forgotten this long after its latest crash, by when no caller
  * submits its job again. */
 #define SUSPECT_LIFETIME_US (60 * US_PER_S)
 
+/* Suspects are placed after jobs that are due by this much later. */
+#define SUSPECT_DELAY_US (500 * US_PER_MS)
+
 static struct ent_suspect *
 find_suspect(const struct entry *entry, uint64_t name, uint32_t task)
 {
@@ -96,6 +100,7 @@
         struct ent_task *task = &job->tasks[i];
         const struct ent_suspect *suspect =
             find_suspect(entry, job->name, task->no);
+        job->is_suspect |= suspect != NULL;
         if (suspect && suspect->crashes >= ENT_MAX_CRASHES) {
             CTR_INC(entry->counters, tasks_given_up);
             Enti_LogDecision(entry, now, LOG_EVENT_GIVEN_UP, job, task, NULL,
@@ -107,6 +112,23 @@
     return 0;
 }
 
+/* Let a job wait until those that are not suspected have been started: most
+ * of them are sound, and each run of a deadly task costs an upstream. */
+static void
+mark_suspect(struct entry *entry, struct ent_job *job)
+{
+    int was_queued = job->queued;
+    if (job->is_suspect) {
+        return;
+    }
+    Enti_Unqueue(job);
+    job->is_suspect = 1;
+    job->sort_key += SUSPECT_DELAY_US;
+    if (was_queued) {
+        Enti_Enqueue(entry, job, 1);
+    }
+}
+
 static void
 count_suspect(struct entry *entry, struct now now,
               const struct crash_suspect *reported)
@@ -123,6 +145,7 @@
                                   .code = CODE_WORKER_CRASHED};
     if (job && job->state == ENT_JOB_OPEN && find_task(job, reported->task)) {
         Act_LogEvent(&entry->sink, &event);
+        mark_suspect(entry, job);
         Enti_GiveUp(entry, now, job);
     }
 }
@@ -162,13 +185,16 @@
         return;
     }
     CTR_INC(entry->counters, crashes_reported);
+    uint64_t at_us = now.us - crash->age_ms * US_PER_MS;
     if (from->member.role == ROLE_AGENT && Enti_UsesSubset(entry) &&
         owns_a_suspect(entry, crash)) {
         relay(entry, crash);
     }
-    for (uint32_t i = 0; i < crash->count; i++) {
-        if (crash->suspects[i].name) {
-            count_suspect(entry, now, &crash->suspects[i]);
+    struct msg_crash known = *crash;
+    Enti_CountKindCrash(entry, now, at_us, &known);
+    for (uint32_t i = 0; i < known.count; i++) {
+        if (known.suspects[i].name) {
+            count_suspect(entry, now, &known.suspects[i]);
         }
     }
 }
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -324,6 +324,7 @@
     if (now.us >= entry->next_scan_us) {
         entry->next_scan_us = now.us + SCAN_INTERVAL_US;
         Enti_UpdateSubset(entry, now);
+        Enti_ChooseForConfined(entry, now);
         scan_jobs(entry, now);
         Enti_ResendCancels(entry, now);
         Enti_DemoteLateJobs(entry, now);
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -197,6 +197,7 @@
     leave_service(peer);
     peer->service = service;
     if (service) {
+        peer->last_service = service;
         DL_APPEND(service->agents, peer);
     }
 }
--- a/core/src/entry/place.c
+++ b/core/src/entry/place.c
@@ -32,6 +32,10 @@
         Enti_AdjustUsed(agent, &step->spec.need, 1);
         job->share->running++;
     }
+    task->is_confined = (uint8_t)Enti_IsConfined(now, job);
+    if (task->is_confined) {
+        Enti_AdjustConfined(agent, job, 1);
+    }
     if (job->waiting == 0 || job->is_late) {
         Enti_Unqueue(job);
     }
@@ -104,7 +108,9 @@
         if (place_task(entry, now, job) == 0) {
             return 0;
         }
-        if (++tried == LOOKAHEAD_JOBS) {
+        /* Confined jobs must not keep the others from their agents. */
+        tried += !Enti_IsConfined(now, job);
+        if (tried == LOOKAHEAD_JOBS) {
             break;
         }
     }
@@ -219,6 +225,9 @@
         (*used)--;
     }
     Enti_AdjustUsed(agent, &job->steps[task->step].spec.need, -1);
+    if (task->is_confined) {
+        Enti_AdjustConfined(agent, job, -1);
+    }
 }
 
 /* Add `count` waiting tasks, and queue the job if it is not queued. */
--- a/core/src/entry/place.h
+++ b/core/src/entry/place.h
@@ -98,6 +98,44 @@
 /** Update the reservations of this entry and report them to the others. */
 void Enti_SendUsage(struct entry *entry, struct now now);
 
+/* confine.c */
+
+/** Count a crash at `at_us` for the kinds of the tasks that began shortly
+ * before, and confine a kind that is found to crash upstreams. Suspects of
+ * other kinds are removed if there are some of a kind that is confined
+ * already. */
+void Enti_CountKindCrash(struct entry *entry, struct now now, uint64_t at_us,
+                         struct msg_crash *crash);
+
+/** True if the tasks of a job may run only at the agents for confined
+ * tasks. */
+int Enti_IsConfined(struct now now, const struct ent_job *job);
+
+/** True if the agent is kept from the job: as it is not for confined tasks, or
+ * has those of another job. */
+int Enti_IsBarred(const struct entry *entry, struct now now,
+                  const struct ent_job *job, const struct ent_peer *agent);
+
+/** True if the agent is to be avoided by a job that is not confined. */
+int Enti_IsForConfined(struct now now, const struct ent_peer *agent);
+
+/** Count (`sign` 1) or release (`sign` -1) a confined task of the job at an
+ * agent. */
+void Enti_AdjustConfined(struct ent_peer *agent, const struct ent_job *job,
+                         int sign);
+
+/** Record that an agent has refused a confined task: it has one of another
+ * entry. */
+void Enti_OnConfinedRefused(struct now now, struct ent_peer *agent);
+
+/** True if a confined job would wait behind as many others as may run at a
+ * time. */
+int Enti_IsConfinementFull(const struct entry *entry, struct now now,
+                           const struct ent_job *job);
+
+/** Choose the agents for confined tasks of each service that needs them. */
+void Enti_ChooseForConfined(struct entry *entry, struct now now);
+
 /* capacity.c */
 
 /** Number of tasks with the requirement `need` that fit into the free
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -151,6 +151,9 @@
     }
     Enti_LogDecision(entry, now, LOG_EVENT_RETRIED, job, task, agent,
                      result->code);
+    if (task->is_confined && result->code == CODE_NO_SLOT) {
+        Enti_OnConfinedRefused(now, agent);
+    }
     Enti_Requeue(entry, now, job, task);
     if (result->code == CODE_UNHEALTHY) {
         agent->ejected = 1;
--- a/core/src/entry/start.c
+++ b/core/src/entry/start.c
@@ -22,7 +22,8 @@
 {
     const struct policy *policy =
         Enti_Policy(entry, job->service_name, job->team);
-    if (entry->settings.mode == ENT_BASELINE || !task->may_wait) {
+    if (entry->settings.mode == ENT_BASELINE || !task->may_wait ||
+        task->is_confined) {
         return 0;
     }
     return (uint32_t)policy->value[POL_HOLD_MS];
@@ -50,6 +51,9 @@
     if (job->service && job->service->use_ejected) {
         start->flags |= START_IF_EJECTED;
     }
+    if (task->is_confined) {
+        start->flags |= START_CONFINED;
+    }
     start->priority = job->priority;
     start->hold_ms = hold_ms(entry, job, task);
     memcpy(start->kind, job->kind, sizeof(start->kind));
--- a/daemon/log_event.c
+++ b/daemon/log_event.c
@@ -25,6 +25,8 @@
         return "Job cancelled: its tasks are stopped.";
     case LOG_EVENT_SUSPECTED:
         return "Task is suspected of a crash.";
+    case LOG_EVENT_CONFINED:
+        return "Kind of job is confined: its tasks crash upstreams.";
     case LOG_EVENT_GIVEN_UP:
         return "Task is given up: upstreams crashed under it.";
     }
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -94,16 +94,16 @@
     uint32_t deadline_ms;
 };
 
-/** Submit a restartable job under a new key, which is returned. */
+/** Submit a restartable job of a kind under a new key, which is returned. */
 NET_UNUSED static struct key
-Net_SubmitJob(struct net_node *entry, conn_id conn, const struct net_job *job)
+Net_SubmitKind(struct net_node *entry, conn_id conn, const struct net_job *job,
+               const char *kind)
 {
     static struct sub_task list[WIRE_MAX_TASKS];
     struct sub_step step = {.need = {job->cpu, 64, 0}};
     struct submission sub = {
         .key = Net_IssueKey(entry),
         .service = "finishing",
-        .kind = "edge-check",
         .deadline_ms = job->deadline_ms,
         .flags = SUB_RESTART,
         .task_count = job->tasks,
@@ -118,10 +118,18 @@
     for (uint32_t i = 0; i < job->tasks; i++) {
         list[i] = (struct sub_task){.no = i, .run_ms = job->run_ms};
     }
+    snprintf(sub.kind, sizeof(sub.kind), "%s", kind);
     Ent_OnSubmit(&entry->entry, entry->net->now, conn, &sub);
     return sub.key;
 }
 
+/** Submit a restartable job under a new key, which is returned. */
+NET_UNUSED static struct key
+Net_SubmitJob(struct net_node *entry, conn_id conn, const struct net_job *job)
+{
+    return Net_SubmitKind(entry, conn, job, "edge-check");
+}
+
 /** The code of the latest answer on a connection, or CODE_PENDING if there is
  * none. */
 NET_UNUSED static enum code
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -29,10 +29,17 @@
 }
 
 static struct key
-submit(int entry, conn_id conn, uint64_t name, uint32_t tasks)
+submit_kind(int entry, conn_id conn, uint64_t name, uint32_t tasks,
+            const char *kind)
 {
     struct net_job job = {name, tasks, 2000, 50, 5000};
-    return Net_SubmitJob(entries[entry], conn, &job);
+    return Net_SubmitKind(entries[entry], conn, &job, kind);
+}
+
+static struct key
+submit(int entry, conn_id conn, uint64_t name, uint32_t tasks)
+{
+    return submit_kind(entry, conn, name, tasks, "edge-check");
 }
 
 static uint32_t
@@ -120,6 +127,53 @@
     assert_int_equal(count_crashes(), 2);
 }
 
+static uint32_t
+count_crashed_workers(void)
+{
+    uint32_t crashed = 0;
+    for (int i = 0; i < WORKERS; i++) {
+        crashed += workers[i]->crashes > 0;
+    }
+    return crashed;
+}
+
+/* Before a kind is found to crash upstreams, two of them have crashed. */
+static void
+a_kind_that_crashes_upstreams_reaches_few_of_them(void **state)
+{
+    uint32_t served = 0;
+    (void)state;
+    for (uint32_t i = 0; i < 150; i++) {
+        uint64_t deadly = i % 5 == 0 ? DEADLY * 0x10000 : 0x1000000;
+        net.reply_count = 0;
+        submit((int)i % ENTRIES, 1, deadly + i, 2);
+        submit_kind((int)i % ENTRIES, 2, 1000 + i, 1, "other");
+        Net_Run(&net, 60);
+        served += Net_Answer(&net, 2) == CODE_OK;
+    }
+    assert_true(count_crashed_workers() <= 2 + (WORKERS + 3) / 4);
+    assert_true(served >= 140);
+}
+
+static void
+an_entry_that_starts_learns_which_kinds_are_confined(void **state)
+{
+    (void)state;
+    for (uint32_t i = 0; i < 4; i++) {
+        submit((int)i % ENTRIES, 1, DEADLY * 0x10000 + i, 1);
+        Net_Run(&net, 200);
+    }
+    struct net_node *entry = Net_AddEntry(&net, "entry-new");
+    Net_Run(&net, 800);
+    uint32_t before = count_crashed_workers();
+    for (uint32_t i = 0; i < 20; i++) {
+        struct net_job job = {DEADLY * 0x10000 + 100 + i, 1, 2000, 50, 5000};
+        Net_SubmitJob(entry, 2, &job);
+        Net_Run(&net, 100);
+    }
+    assert_true(count_crashed_workers() <= before + (WORKERS + 3) / 4);
+}
+
 int
 main(void)
 {
@@ -128,6 +182,8 @@
         TEST(a_task_that_crashes_upstreams_is_given_up_after_two),
         TEST(crashes_are_counted_across_entries),
         TEST(tasks_beside_a_deadly_one_are_not_given_up),
+        TEST(a_kind_that_crashes_upstreams_reaches_few_of_them),
+        TEST(an_entry_that_starts_learns_which_kinds_are_confined),
         TEST(a_lost_report_of_a_crash_is_repeated),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -110,6 +110,9 @@
 /** Flag of a start: start the task even if the worker has been ejected because
  * of its failures. */
 #define START_IF_EJECTED 0x100u
+/** Flag of a start: the task may crash the worker. It is not started beside
+ * such a task of another job. */
+#define START_CONFINED 0x200u
 
 /** One task of a submission. */
 struct sub_task {
@@ -437,6 +440,7 @@
 struct msg_crash {
     uint64_t agent;    /**< Incarnation of the upstream's agent. */
     uint32_t number;   /**< Of the crash at this agent, from 1. */
+    uint32_t age_ms;   /**< Time from the crash to the sending. */
     uint8_t is_by_age; /**< The suspects began shortly before the crash; else
                             they are all tasks that ran there. */
     char service[WIRE_NAME_SIZE];
--- a/wire/src/pack.c
+++ b/wire/src/pack.c
@@ -253,10 +253,11 @@
 static void
 put_crash(msgpack_packer *pk, const struct msg_crash *m)
 {
-    msgpack_pack_array(pk, 5 + 3 * (size_t)m->count);
+    msgpack_pack_array(pk, 6 + 3 * (size_t)m->count);
     put_uint(pk, MSG_CRASH);
     put_uint(pk, m->agent);
     put_uint(pk, m->number);
+    put_uint(pk, m->age_ms);
     put_uint(pk, m->is_by_age);
     put_str(pk, m->service);
     for (uint32_t i = 0; i < m->count; i++) {
--- a/wire/src/unpack.c
+++ b/wire/src/unpack.c
@@ -355,6 +355,7 @@
 {
     m->agent = take_u64(c);
     m->number = take_u32(c);
+    m->age_ms = take_u32(c);
     m->is_by_age = (uint8_t)take_uint(c, 1);
     take_str(c, m->service, sizeof(m->service));
     uint32_t count = c->left / 3;
