--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -58,11 +58,15 @@
     agent->registered = version;
 }
 
-/* True if the announcements differ in which tasks may run on the worker. */
+/* True if the announcements differ in which tasks, or how many, may run on the
+ * worker. */
 static int
-has_other_eligibility(const struct ag_announce *a, const struct ag_announce *b)
+has_other_offer(const struct ag_announce *a, const struct ag_announce *b)
 {
-    return strcmp(a->service, b->service) != 0 ||
+    return a->slots != b->slots || a->capacity.cpu != b->capacity.cpu ||
+           a->capacity.memory_mb != b->capacity.memory_mb ||
+           a->capacity.gpu != b->capacity.gpu ||
+           strcmp(a->service, b->service) != 0 ||
            a->labels.count != b->labels.count ||
            memcmp(a->labels.names, b->labels.names,
                   a->labels.count * sizeof(a->labels.names[0])) != 0;
@@ -82,7 +86,7 @@
     if (agent->announced_us == 0 || bound < agent->untracked) {
         agent->untracked = bound;
     }
-    int is_changed = has_other_eligibility(&agent->upstream, announce);
+    int is_changed = has_other_offer(&agent->upstream, announce);
     agent->upstream = *announce;
     agent->announced_us = now.us;
     agent->min_occupied = agent->busy + agent->requests;
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -52,6 +52,61 @@
     }
 }
 
+/* The upstream starts whatever it is told to. */
+static void
+a_capacity_that_shrinks_is_not_exceeded(void **state)
+{
+    uint32_t largest = 0;
+    (void)state;
+    Net_Kill(other_agent);
+    agent->run_ms = 70;
+    for (uint32_t i = 0; i < 150; i++) {
+        uint32_t cpu = i / 50 % 2 ? 3000 : 8000;
+        if (cpu != agent->capacity.cpu) {
+            agent->capacity.cpu = cpu;
+            /* To the next announcement. */
+            Net_Run(&net, 501 - (uint32_t)(net.now.us / 1000 % 500));
+        }
+        submit_to(i % 2 ? entry : other_entry, 100 + i, 1000 + i, 1, 1000,
+                  5000);
+        for (int ms = 0; ms < 20; ms++) {
+            uint32_t starts = net.start_count;
+            Net_Run(&net, 1);
+            uint32_t used = Net_RunningAt(&net, agent) * 1000;
+            assert_true(used <= cpu || net.start_count == starts);
+            largest = used > largest ? used : largest;
+        }
+    }
+    assert_true(largest > 3000);
+}
+
+static uint32_t
+known_cpu(struct net_node *node)
+{
+    uint32_t slot = 0;
+    const struct ent_peer *peer;
+    while ((peer = Tab_Next(&node->entry.peers, &slot))) {
+        if (peer->member.incarnation == agent->member.incarnation) {
+            return peer->capacity.cpu;
+        }
+    }
+    return 0;
+}
+
+/* An entry that plans with an old capacity sends starts that are refused, or
+ * lets jobs wait beside free cores. */
+static void
+entries_learn_of_a_changed_capacity_at_once(void **state)
+{
+    (void)state;
+    for (uint32_t cpu = 8000; cpu > 3000; cpu -= 1000) {
+        agent->capacity.cpu = cpu - 1000;
+        Net_Run(&net, 505 - (uint32_t)(net.now.us / 1000 % 500));
+        assert_int_equal(known_cpu(entry), cpu - 1000);
+        assert_int_equal(known_cpu(other_entry), cpu - 1000);
+    }
+}
+
 static void
 a_job_is_spread_over_few_agents(void **state)
 {
@@ -449,6 +504,8 @@
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, Net_TearDown)
     const struct CMUnitTest tests[] = {
         TEST(capacity_is_never_exceeded),
+        TEST(a_capacity_that_shrinks_is_not_exceeded),
+        TEST(entries_learn_of_a_changed_capacity_at_once),
         TEST(a_job_is_spread_over_few_agents),
         TEST(a_dead_entrys_tasks_end_before_its_callers_resubmit),
         TEST(a_job_cut_off_ends_before_its_caller_resubmits),
