An agent saves a changed capacity of its upstream

The saved row held the capacity with which the upstream became usable. After a restart of the agent's process the upstream is used by it until its next heartbeat, up to 1.5 s: one that has shrunk since could be exceeded. The row is now written when the capacity changes, as when the upstream begins to leave.

--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -245,12 +245,24 @@
                                       heartbeat->sequence < known->sequence));
 }
 
+/* True if what a restarted process must know of the upstream, before its next
+ * heartbeat, has changed. */
+static int
+has_other_saved_state(const struct ag_announce *a, const struct ag_announce *b)
+{
+    return a->leaving != b->leaving || a->capacity.cpu != b->capacity.cpu ||
+           a->capacity.memory_mb != b->capacity.memory_mb ||
+           a->capacity.gpu != b->capacity.gpu;
+}
+
 /* A heartbeat that is received out of order is acknowledged and dropped. */
 static void
 handle_heartbeat(struct orders *orders, const struct pf_heartbeat *heartbeat)
 {
     struct now now = Loop_Now();
     int was_leaving = orders->heartbeat.announcement.leaving;
+    int is_changed = has_other_saved_state(&orders->heartbeat.announcement,
+                                           &heartbeat->announcement);
     if (is_outdated(orders, heartbeat)) {
         CTR_INC(orders->counters, beats_old);
         return;
@@ -269,9 +281,9 @@
         if (heartbeat->announcement.leaving && !was_leaving) {
             Ag_BroadcastStatus(orders->core);
         }
-        if (heartbeat->announcement.leaving != was_leaving) {
-            /* A restarted process must not use an upstream that is leaving
-             * until the next heartbeat tells it so. */
+        if (is_changed) {
+            /* A restarted process must not use an upstream that is leaving,
+             * or more of it than there is. */
             orders->save_upstream(orders->context);
         }
     }
