--- a/core/include/core/act.h
+++ b/core/include/core/act.h
@@ -42,7 +42,7 @@
     LOG_EVENT_SUSPECTED,   /**< An upstream has crashed under a task;
                                 `attempt` is how often. */
     LOG_EVENT_CONFINED,    /**< The tasks of a kind, named by `node`, are
-                                  confined. */
+                                confined. */
     LOG_EVENT_GIVEN_UP,    /**< A task is not started any more: it crashes
                                 upstreams. */
 };
