Callers who left during a pause of the entry are dropped before other events

A start that comes more than 1.3 s after the break could run beside the caller's second submission.

Before an event that may start tasks, when the one before is over 100 ms old, the entry now asks all connections with unanswered requests whether their clients have left, and ends the jobs of those. A timer makes an event every few milliseconds, so in calm operation nothing is asked.

Test of the server: a_waiting_client_that_has_left_is_dropped_before_other_events (the function is new).

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -81,11 +81,20 @@
     }
 }
 
+static void
+before_event(struct entry_daemon *daemon)
+{
+    if (Adapter_IsOn(daemon->settings)) {
+        Ingress_OnEvent(&daemon->ingress, Loop_Now());
+    }
+}
+
 static void
 on_message(void *context, const struct frame_header *header,
            const struct msg *msg)
 {
     struct entry_daemon *daemon = context;
+    before_event(daemon);
     if (msg->type == MSG_STATE) {
         Rows_OnState(&daemon->control, header, &msg->u.state);
         return;
@@ -114,6 +123,7 @@
 on_followed_rows(void *context, const struct store_result *result)
 {
     struct entry_daemon *daemon = context;
+    before_event(daemon);
     Rows_OnRead(&daemon->control, result->body,
                 Store_OldestReadUs(&daemon->store));
 }
@@ -229,6 +239,7 @@
     struct entry_daemon *daemon = context;
     struct now now = Loop_Now();
     uint32_t refused_percent = daemon->core.pressure.refuse_percent;
+    before_event(daemon);
     Ent_OnTick(&daemon->core, now);
     log_overload(daemon, refused_percent);
     log_subset(daemon, now);
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -11,6 +11,9 @@
 /* httpd.server_id of the two servers; the server of callers.h has 0. */
 #define SERVER_ID_CALLERS 1
 #define SERVER_ID_READINESS 2
+/* Time without events, of which a timer makes one every few milliseconds,
+ * after which this process has been paused. */
+#define PAUSE_US (100 * US_PER_MS)
 /* Retry-After of refusals with status 503, in milliseconds. Refusals under
  * overload get theirs from Ent_CheckOverload(). */
 #define RETRY_AFTER_MS 1000
@@ -218,10 +221,20 @@
     reply(ingress, request->conn, &answer);
 }
 
+void
+Ingress_OnEvent(struct ingress *ingress, struct now now)
+{
+    if (ingress->event_us && now.us - ingress->event_us > PAUSE_US) {
+        Hs_DropLeft(&ingress->callers);
+    }
+    ingress->event_us = now.us;
+}
+
 static void
 on_caller_request(void *context, const struct hs_request *request)
 {
     struct ingress *ingress = context;
+    Ingress_OnEvent(ingress, Loop_Now());
     const struct route_table *routes = &ingress->control->routes;
     struct pf_path path;
     if (routes->version == 0) {
--- a/daemon/ingress.h
+++ b/daemon/ingress.h
@@ -14,6 +14,7 @@
     struct httpd callers;
     struct httpd readiness;  /**< Readiness checks of the load balancer. */
     uint64_t refuse_from_us; /**< When new jobs are refused; 0 for never. */
+    uint64_t event_us;       /**< When the latest event was handled. */
     int is_stopping;         /**< Readiness checks fail. */
 };
 
@@ -30,6 +31,11 @@
 void Ingress_Reply(struct ingress *ingress, conn_id conn,
                    const struct answer *answer);
 
+/** To be called before each event that may start tasks is handled. After a
+ * pause of this process it drops the jobs of callers who have left meanwhile:
+ * they have sent them to other entries. */
+void Ingress_OnEvent(struct ingress *ingress, struct now now);
+
 /** Applies the largest body allowed by the routes; call it on each tick. */
 void Ingress_OnTick(struct ingress *ingress);
 
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -95,6 +95,11 @@
 /** Free the server, after Loop_Finish(). */
 void Hs_Finish(struct httpd *httpd);
 
+/** Close the connections with unanswered requests whose clients have left, and
+ * call httpd.closed for each. The loop does the same, but an iteration that
+ * begins late may handle other events first. */
+void Hs_DropLeft(struct httpd *httpd);
+
 /** Attach a copy of `size` bytes of user data, at most HS_USER_SIZE, to a
  * connection. Does nothing when the connection is closed. */
 void Hs_SetUser(struct httpd *httpd, conn_id conn, const void *user,
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -35,6 +35,7 @@
     uint32_t retry_after_s;
     int headers_sent;
     int too_large;
+    int has_left;         /* httpd.closed has been called. */
     uint64_t received_us; /* When the request's headers arrived. */
     unsigned char user[HS_USER_SIZE];
 };
@@ -359,7 +360,7 @@
 notify_closed(struct httpd *httpd, struct session *session)
 {
     const struct conn *conn = Tab_Get(&httpd->conns, session->conn);
-    if (conn && !conn->reply && httpd->closed) {
+    if (conn && !conn->reply && !conn->has_left && httpd->closed) {
         httpd->closed(httpd->context, conn->request.conn, conn->user);
     }
 }
@@ -457,6 +458,24 @@
     Tab_Finish(&httpd->conns);
 }
 
+void
+Hs_DropLeft(struct httpd *httpd)
+{
+    uint32_t slot = 0;
+    struct conn *conn;
+    while ((conn = Tab_Next(&httpd->conns, &slot))) {
+        if (conn->reply || conn->has_left || !has_client_left(conn->wsi)) {
+            continue;
+        }
+        if (httpd->closed) {
+            httpd->closed(httpd->context, conn->request.conn, conn->user);
+        }
+        conn->has_left = 1;
+        lws_set_timeout(lws_get_network_wsi(conn->wsi),
+                        PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
 void
 Hs_SetUser(struct httpd *httpd, conn_id id, const void *user, size_t size)
 {
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -27,6 +27,8 @@
 #define GET(path) "GET " path " HTTP/1.1\r\nHost: a.example\r\n\r\n"
 /* Path of the requests that show how far the server has come. */
 #define PROBE "/probe"
+/* Path of the requests that are not answered. */
+#define WAIT "/wait"
 #define BODY "{\"steps\":[]}"
 #define POST(path) HEADERS(path, "12") BODY
 
@@ -42,12 +44,17 @@
 static int answered_count;
 static int probes_answered;
 static int closed_count;
+static int waiting_count;
 
 static void
 on_request(void *context, const struct hs_request *request)
 {
     static const int is_probe = 1;
     (void)context;
+    if (strcmp(request->path, WAIT) == 0) {
+        waiting_count++;
+        return;
+    }
     if (strcmp(request->path, PROBE) == 0) {
         Hs_SetUser(&server, request->conn, &is_probe, sizeof(is_probe));
     }
@@ -100,6 +107,7 @@
     answered_count = 0;
     probes_answered = 0;
     closed_count = 0;
+    waiting_count = 0;
     snprintf(listen_addr, sizeof(listen_addr), "127.%u.%u.%u:%d",
              1 + (pid >> 16 & 63), pid >> 8 & 255, 1 + (pid & 255) % 254,
              PORT + round++);
@@ -365,6 +373,31 @@
     assert_int_equal(counters.value[CTR_requests_abandoned], 2);
 }
 
+/* The server's loop does not run between the client's leaving and the drop. */
+static void
+a_waiting_client_that_has_left_is_dropped_before_other_events(void **state)
+{
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        closed_count = 0;
+        waiting_count = 0;
+        send_text(fd, POST(WAIT));
+        run_server();
+        assert_int_equal(waiting_count, 1);
+        Hs_DropLeft(&server);
+        assert_int_equal(closed_count, 0);
+        leave(fd, ways_to_leave[how]);
+        usleep(20000);
+        Hs_DropLeft(&server);
+        assert_int_equal(closed_count, 1);
+        Hs_DropLeft(&server);
+        run_server();
+        assert_int_equal(closed_count, 1);
+        assert_int_equal(server.conns.used, 0);
+    }
+}
+
 int
 main(void)
 {
@@ -379,6 +412,7 @@
         TEST(pipelined_requests_of_an_open_connection_are_handled),
         TEST(a_client_that_ends_its_stream_has_left),
         TEST(a_server_of_reports_handles_those_of_closed_connections),
+        TEST(a_waiting_client_that_has_left_is_dropped_before_other_events),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
