scenarios/platform: no job starts whose caller left while its entry was paused

A job waits for capacity; its entry is stopped, its caller closes the connection, the capacity becomes free, the entry goes on.

--- a/scenarios/platform.py
+++ b/scenarios/platform.py
@@ -129,6 +129,25 @@
     wait_for("the tasks of the job run", lambda: platform("GET", "/runs")["running"] == 2)
 wait_for("the tasks end when the caller disconnects", lambda: platform("GET", "/runs")["running"] == 0, 1)
 
+# A caller disconnects while its entry is paused, and its job waits for capacity.
+blocker = threading.Thread(target=submit, args=(CALLERS[1], job(700, 2, 8000)))
+blocker.start()
+wait_for("all capacity is taken", lambda: platform("GET", "/runs")["running"] == 2)
+name = "00000000000b0002"
+with socket.create_connection(("127.0.0.1", CALLERS[0]), 5) as caller:
+    data = json.dumps(job(3000, 2, 8000)).encode()
+    caller.sendall((f"POST /desk/{name} HTTP/1.1\r\nHost: desk.example\r\n"
+                    f"Jacinthpick-Request-Deadline: 60000\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
+    time.sleep(0.2)
+    os.kill(first, signal.SIGSTOP)
+blocker.join()
+time.sleep(0.8)
+os.kill(first, signal.SIGCONT)
+time.sleep(0.5)
+check("a job whose caller left during a pause does not start",
+      not [s for s in platform("GET", "/runs")["starts"] if s[0].startswith(name)])
+
 # Configuration changes and an evacuation by the operator.
 config(4, ["/desk/", "/annex/"])
 wait_for("a new route is in force", lambda: call(CALLERS[1], "GET", "/annex/")[0] == 200, 2)
