A crash is reported although a connection was refused before without runs

Found by review. One refusal while nothing ran marked the instance as crashed, so that its real crash was reported to nobody. The mark is now set with a report.

a_crash_is_reported_after_a_refusal_without_runs failed before.

--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -42,11 +42,11 @@
     if (runner->crashed_born_ms == runner->born_ms) {
         return;
     }
-    runner->crashed_born_ms = runner->born_ms;
     add_suspects(runner, now, &act, suspects, 1);
     act.young_count = act.suspect_count;
     add_suspects(runner, now, &act, suspects, 0);
     if (act.suspect_count) {
+        runner->crashed_born_ms = runner->born_ms;
         runner->sink.emit(runner->sink.context, &act);
     }
 }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -307,6 +307,24 @@
     assert_int_equal(young_count, 0);
 }
 
+/* A connection may fail though the upstream lives on. */
+static void
+a_crash_is_reported_after_a_refusal_without_runs(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    announce();
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    announce();
+    run_for(200);
+    assert_int_equal(runner.phase, RN_USABLE);
+    start_task(1, 1, 0);
+    run_for(20);
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    assert_int_equal(ends, 1);
+    assert_int_equal(suspect_count, 1);
+}
+
 /* It may never have begun, and its task would be given up without cause; or it
  * has caused the crash, and must not make another kind look guilty. */
 static void
@@ -446,6 +464,7 @@
         TEST(refusal_by_an_earlier_instance_ends_no_run),
         TEST(runs_that_began_before_a_crash_are_suspected),
         TEST(start_without_an_answer_is_not_known_to_have_begun),
+        TEST(a_crash_is_reported_after_a_refusal_without_runs),
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
