A run that was acknowledged after a lost poll is suspected of a crash

A lost poll dated the crash before the start of the run that caused it, which was left out of the report, and older runs looked younger. The crash is now dated at the latest answer, if that came after the poll.

a_run_acknowledged_after_a_lost_poll_is_suspected failed before.

--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -6,11 +6,17 @@
 #define SUSPECT_AGE_US (40 * US_PER_MS)
 
 /* When the upstream crashed. A poll is pending all the time while there are
- * runs, so the first one that failed shows it. */
+ * runs, so the first one that failed shows it, unless an order was answered
+ * later. */
 static uint64_t
 crash_us(const struct runner *runner, struct now now)
 {
-    return runner->poll_failures ? runner->silent_from_us : now.us;
+    if (runner->poll_failures == 0) {
+        return now.us;
+    }
+    return runner->silent_from_us > runner->last_reply_us
+               ? runner->silent_from_us
+               : runner->last_reply_us;
 }
 
 /* Append the runs that were there, and are young or are not, to the suspects.
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -325,6 +325,27 @@
     assert_int_equal(suspect_count, 1);
 }
 
+/* One poll is lost, and the next start is acknowledged: the upstream has lived
+ * longer than the poll that failed. */
+static void
+a_run_acknowledged_after_a_lost_poll_is_suspected(void **state)
+{
+    static struct rn_view view;
+    (void)state;
+    run_ms = 50000;
+    announce();
+    start_task(1, 1, 0);
+    run_for(600);
+    Rn_OnPoll(&runner, now(), runner.long_poll.id, RN_NO_ANSWER, &view);
+    run_for(2);
+    start_task(2, 1, 0);
+    run_for(4);
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    assert_int_equal(begun_count, 2);
+    assert_int_equal(young_count, 1);
+    assert_int_equal(first_suspect, 2);
+}
+
 /* It may never have begun, and its task would be given up without cause; or it
  * has caused the crash, and must not make another kind look guilty. */
 static void
@@ -465,6 +486,7 @@
         TEST(runs_that_began_before_a_crash_are_suspected),
         TEST(start_without_an_answer_is_not_known_to_have_begun),
         TEST(a_crash_is_reported_after_a_refusal_without_runs),
+        TEST(a_run_acknowledged_after_a_lost_poll_is_suspected),
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
