A stop that awaits the reply to its start is kept at a crash

Found by review. Of the runs whose start order is pending only those that are still wanted were kept when a connection was refused; a start that is to be stopped may be carried out by a new instance as well. No way to two runs was found, as orders name the instance; the rule and its comment now agree.

a_stop_that_awaits_a_start_is_kept_at_a_crash failed before.

--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -57,15 +57,16 @@
     }
 }
 
-/* A start whose order is pending is kept: a new instance may be listening when
- * the order arrives, and its reply shows what became of it. */
+/* A run whose order is pending, but for a stop of a run that has begun, is
+ * kept: a new instance may be listening when a start arrives, and its reply
+ * shows what became of it. */
 static void
 end_crashed(struct runner *runner, struct now now)
 {
     uint32_t slot = 0;
     struct rn_run *run;
     while ((run = Tab_Next(&runner->runs, &slot))) {
-        if (run->state == RN_STARTING && run->order_pending) {
+        if (run->order_pending && !run->was_running) {
             continue;
         }
         CTR_INC(runner->counters, runs_crashed);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -346,6 +346,19 @@
     assert_int_equal(first_suspect, 2);
 }
 
+/* Its pending order is a start. */
+static void
+a_stop_that_awaits_a_start_is_kept_at_a_crash(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    announce();
+    start_task(1, 1, 0);
+    Rn_Stop(&runner, now(), 1);
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    assert_int_equal(ends, 0);
+}
+
 /* It may never have begun, and its task would be given up without cause; or it
  * has caused the crash, and must not make another kind look guilty. */
 static void
@@ -487,6 +500,7 @@
         TEST(start_without_an_answer_is_not_known_to_have_begun),
         TEST(a_crash_is_reported_after_a_refusal_without_runs),
         TEST(a_run_acknowledged_after_a_lost_poll_is_suspected),
+        TEST(a_stop_that_awaits_a_start_is_kept_at_a_crash),
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
