A full table of suspects forgets the one whose crash is longest ago

Found by review. The suspect that had been added first was removed, however recent its latest crash: in a fleet that loses racks a task that was crashing upstreams was forgotten, and crashed four of them instead of two.

a_full_table_does_not_forget_a_deadly_task failed before.

--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -33,18 +33,21 @@
     Tab_Remove(&crashes->suspects, suspect);
 }
 
-/* Find or add a suspect; the oldest one makes space, if there is none. */
+/* Find or add a suspect, as the latest one; the one that crashed longest ago
+ * makes space, if there is none. */
 static struct ent_suspect *
 get_suspect(struct entry *entry, uint64_t name, uint32_t task)
 {
     struct ent_crashes *crashes = &entry->crashes;
     struct ent_suspect *suspect = find_suspect(entry, name, task);
+    /* The index keeps the order of insertion. */
     if (suspect) {
-        return suspect;
+        HASH_DELETE(hh, crashes->suspect_index, suspect);
+    }
+    else {
+        suspect = Tab_Add(&crashes->suspects);
     }
-    suspect = Tab_Add(&crashes->suspects);
     if (!suspect) {
-        /* The index keeps the order of insertion. */
         remove_suspect(crashes, crashes->suspect_index);
         suspect = Tab_Add(&crashes->suspects);
     }
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -204,6 +204,45 @@
     assert_true(count_crashed_workers() <= before + (WORKERS + 3) / 4);
 }
 
+/* Report that the upstreams of other tasks have crashed: a rack is lost. */
+static void
+lose_a_rack(uint64_t first_name)
+{
+    static uint32_t number = 1000;
+    for (uint32_t i = 0; i < ENT_MAX_SUSPECTS / WIRE_MAX_SUSPECTS; i++) {
+        struct msg msg = {.type = MSG_CRASH};
+        struct msg_crash *crash = &msg.u.crash;
+        crash->agent = workers[0]->header.from;
+        crash->number = ++number;
+        crash->count = WIRE_MAX_SUSPECTS;
+        snprintf(crash->service, sizeof(crash->service), "polishing");
+        for (uint32_t j = 0; j < crash->count; j++) {
+            crash->suspects[j].name = first_name + i * WIRE_MAX_SUSPECTS + j;
+            crash->suspects[j].has_begun = 1;
+        }
+        for (int j = 0; j < ENTRIES; j++) {
+            net_send(workers[0], entries[j]->header.from, &msg);
+        }
+    }
+}
+
+static void
+a_full_table_does_not_forget_a_deadly_task(void **state)
+{
+    uint32_t seen = 0;
+    (void)state;
+    submit(0, 1, DEADLY * 0x10000, 1);
+    for (uint32_t i = 0; i < 4900; i++) {
+        Net_Run(&net, 1);
+        if (count_crashes() > seen) {
+            seen = count_crashes();
+            lose_a_rack(0x5000000 + seen * 0x10000);
+        }
+    }
+    assert_int_equal(count_crashes(), 2);
+    assert_int_equal(Net_Answer(&net, 1), CODE_CRASHES_WORKERS);
+}
+
 int
 main(void)
 {
@@ -217,6 +256,7 @@
         TEST(a_kind_that_crashes_upstreams_reaches_few_of_them),
         TEST(an_entry_that_starts_learns_which_kinds_are_confined),
         TEST(a_lost_report_of_a_crash_is_repeated),
+        TEST(a_full_table_does_not_forget_a_deadly_task),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
