A full table of suspects forgets those of one late crash first

Those that were there at one crash only, and not young, are now forgotten first.

a_full_table_does_not_forget_a_deadly_task failed before.

--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -33,14 +33,25 @@
     Tab_Remove(&crashes->suspects, suspect);
 }
 
-/* Find or add a suspect, as the latest one; the one that crashed longest ago
- * makes space, if there is none. */
+/* The suspect to be forgotten when the table is full: the oldest of those that
+ * were there at one crash and not young, as in the loss of a rack, or else the
+ * oldest of all. The index keeps the order of insertion. */
+static struct ent_suspect *
+least_suspected(const struct ent_crashes *crashes)
+{
+    struct ent_suspect *suspect = crashes->suspect_index;
+    while (suspect && (suspect->young > 0 || suspect->crashes > 1)) {
+        suspect = suspect->hh.next;
+    }
+    return suspect ? suspect : crashes->suspect_index;
+}
+
+/* Find or add a suspect, as the latest one. */
 static struct ent_suspect *
 get_suspect(struct entry *entry, uint64_t name, uint32_t task)
 {
     struct ent_crashes *crashes = &entry->crashes;
     struct ent_suspect *suspect = find_suspect(entry, name, task);
-    /* The index keeps the order of insertion. */
     if (suspect) {
         HASH_DELETE(hh, crashes->suspect_index, suspect);
     }
@@ -48,7 +59,7 @@
         suspect = Tab_Add(&crashes->suspects);
     }
     if (!suspect) {
-        remove_suspect(crashes, crashes->suspect_index);
+        remove_suspect(crashes, least_suspected(crashes));
         suspect = Tab_Add(&crashes->suspects);
     }
     suspect->id = (struct ent_suspect_id){name, task};
