A task that crashes upstreams before they acknowledge its start is given up

Found by review. A start without an answer was never counted, so that a task that crashes its upstream before the acknowledgement was started again without limit (BUDGET). At five crashes at which it had been ordered and may have begun it is now given up: the sixth start would be the third one after three crashes.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -40,8 +40,10 @@
 /** A task is given up, and its job failed, when upstreams have crashed shortly
  * after its start this many times, */
 #define ENT_MAX_YOUNG_CRASHES 2
-/** or at any time during its runs this many times. */
+/** or at any time during its runs this many times, */
 #define ENT_MAX_CRASHES 3
+/** or when it had been ordered and may have begun, this many times. */
+#define ENT_MAX_POSSIBLE_CRASHES 5
 
 /** A task is identified across entries and submissions by these. */
 struct ent_suspect_id {
@@ -54,8 +56,10 @@
     struct tab_row row;
     struct ent_suspect_id id;
     uint32_t crashes;
-    uint32_t young; /**< Of these, shortly after its start. */
-    uint64_t at_us; /**< When the latest one was reported. */
+    uint32_t young;    /**< Of these, shortly after its start. */
+    uint32_t possible; /**< Crashes at which it had been ordered, and may have
+                            begun. */
+    uint64_t at_us;    /**< When the latest one was reported. */
     UT_hash_handle hh;
 };
 
--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -109,7 +109,8 @@
 is_too_many(const struct ent_suspect *suspect)
 {
     return suspect->young >= ENT_MAX_YOUNG_CRASHES ||
-           suspect->crashes >= ENT_MAX_CRASHES;
+           suspect->crashes >= ENT_MAX_CRASHES ||
+           suspect->possible >= ENT_MAX_POSSIBLE_CRASHES;
 }
 
 int
@@ -158,6 +159,7 @@
     struct ent_suspect *suspect =
         get_suspect(entry, reported->name, reported->task);
     struct ent_job *job = Enti_FindJobByName(entry, reported->name);
+    suspect->possible++;
     suspect->crashes += reported->has_begun;
     suspect->young += is_young && reported->has_begun;
     suspect->at_us = now.us;
