Crashes beside a confined kind count for the tasks that were there

When a young task of a confined kind was there at a crash, all other suspects were dropped from the report: a task that crashes upstreams late was then never given up (BUDGET). They now only lose the mark of being young.

a_late_task_beside_young_ones_of_a_confined_kind_is_given_up failed before.

--- a/core/src/entry/confine.c
+++ b/core/src/entry/confine.c
@@ -61,24 +61,25 @@
     raise_to(&kind->confined_until_us, at_us + CRASH_PAUSE_US);
 }
 
-/* Remove the suspects of other kinds, if there are some of confined ones,
- * which explain the crash. Returns whether there are any. */
+/* If some of the young suspects are of confined kinds, they explain the crash,
+ * and the others no longer count as young. Returns whether there are any. */
 static int
 keep_confined(struct entry *entry, struct now now, uint64_t at_us,
               struct msg_crash *crash)
 {
     uint32_t kept = 0;
     for (uint32_t i = 0; i < crash->young_count; i++) {
+        struct crash_suspect suspect = crash->suspects[i];
         struct ent_kind_stats *kind =
-            Enti_GetKind(entry, crash->service, crash->suspects[i].kind);
+            Enti_GetKind(entry, crash->service, suspect.kind);
         if (is_active(now, kind)) {
             extend(kind, at_us);
-            crash->suspects[kept++] = crash->suspects[i];
+            crash->suspects[i] = crash->suspects[kept];
+            crash->suspects[kept++] = suspect;
         }
     }
     if (kept) {
         crash->young_count = kept;
-        crash->count = kept;
     }
     return kept > 0;
 }
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -250,6 +250,40 @@
     assert_int_equal(Net_Answer(&net, 1), CODE_CRASHES_WORKERS);
 }
 
+/* Report a crash under an old run of `late` and a young run of a task of the
+ * kind "edge-check". */
+static void
+report_crash(uint64_t young, uint64_t late)
+{
+    static uint32_t number = 500000;
+    struct msg msg = {.type = MSG_CRASH};
+    struct msg_crash *crash = &msg.u.crash;
+    crash->agent = workers[0]->header.from;
+    crash->number = ++number;
+    crash->count = 2;
+    crash->young_count = 1;
+    snprintf(crash->service, sizeof(crash->service), "finishing");
+    crash->suspects[0] = (struct crash_suspect){young, 0, 1, "edge-check"};
+    crash->suspects[1] = (struct crash_suspect){late, 0, 1, "other"};
+    for (int j = 0; j < ENTRIES; j++) {
+        net_send(workers[0], entries[j]->header.from, &msg);
+    }
+}
+
+/* The young task explains the crash only if it is given up for it. */
+static void
+a_late_task_beside_young_ones_of_a_confined_kind_is_given_up(void **state)
+{
+    (void)state;
+    for (uint32_t i = 0; i < 6; i++) {
+        report_crash(0x6000000 + i, 0x7000000 + (i < 3 ? i : 3));
+        Net_Run(&net, 1000);
+    }
+    submit_kind(0, 2, 0x7000003, 1, "other");
+    Net_Run(&net, 10);
+    assert_int_equal(Net_Answer(&net, 2), CODE_CRASHES_WORKERS);
+}
+
 int
 main(void)
 {
@@ -264,6 +298,7 @@
         TEST(an_entry_that_starts_learns_which_kinds_are_confined),
         TEST(a_lost_report_of_a_crash_is_repeated),
         TEST(a_full_table_does_not_forget_a_deadly_task),
+        TEST(a_late_task_beside_young_ones_of_a_confined_kind_is_given_up),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
