A suspect is served also by a service of few upstreams

Found by review. Of up to four upstreams one was for confined tasks, and a suspect waited until more than one such was idle: a sound job beside one crash was never started again, and ended at its deadline. At least two agents are now chosen, and a suspect waits for a second idle one only where there is a second usable one.

a_suspect_of_one_crash_is_served_by_a_small_service failed before.

--- a/core/src/entry/confine.c
+++ b/core/src/entry/confine.c
@@ -22,11 +22,12 @@
  * of a rack, that is not a task. A task that is placed again after a crash
  * takes longer. */
 #define COMMON_CAUSE_US (10 * US_PER_MS)
-/* One of this many agents is for confined tasks. */
+/* One of this many agents is for confined tasks, and MIN_AGENTS at least. */
 #define SHARE_DIVISOR 4
-/* A suspect is started only if more agents than this are idle: most of the
- * others of its kind are sound, and an upstream that it crashes serves none of
- * them. */
+#define MIN_AGENTS 2
+/* A suspect is started only if more agents than this are idle, where more are
+ * usable: most of the others of its kind are sound, and an upstream that it
+ * crashes serves none of them. */
 #define SPARE_AGENTS 1
 /* Interval at which the agents for confined tasks are chosen again, as agents
  * are added and removed. */
@@ -181,18 +182,22 @@
            agent->confined_tasks == 0;
 }
 
-/* Number of agents that have no confined task, as known here. */
-static uint32_t
-count_idle(const struct entry *entry, struct now now,
-           const struct ent_service *service)
+/* Whether so few agents for confined tasks are idle, as known here, that a
+ * suspect has to wait. */
+static int
+are_agents_scarce(const struct entry *entry, struct now now,
+                  const struct ent_service *service)
 {
+    uint32_t usable = 0;
     uint32_t idle = 0;
     const struct ent_peer *agent;
     DL_FOREACH(service->agents, agent)
     {
-        idle += is_idle(now, agent) && Enti_IsUsable(entry, now, agent);
+        int can_run = agent->for_confined && Enti_IsUsable(entry, now, agent);
+        usable += can_run;
+        idle += can_run && is_idle(now, agent);
     }
-    return idle;
+    return usable > SPARE_AGENTS && idle <= SPARE_AGENTS;
 }
 
 int
@@ -207,8 +212,7 @@
         return 0;
     }
     return !is_idle(now, agent) ||
-           (job->is_suspect &&
-            count_idle(entry, now, job->service) <= SPARE_AGENTS);
+           (job->is_suspect && are_agents_scarce(entry, now, job->service));
 }
 
 void
@@ -281,7 +285,8 @@
     }
     qsort(agents, count, sizeof(agents[0]), compare_scored);
     for (uint32_t i = 0; i < count; i++) {
-        agents[i].agent->for_confined = i * SHARE_DIVISOR < count;
+        agents[i].agent->for_confined =
+            i < MIN_AGENTS || i * SHARE_DIVISOR < count;
     }
 }
 
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -284,6 +284,43 @@
     assert_int_equal(Net_Answer(&net, 2), CODE_CRASHES_WORKERS);
 }
 
+static struct net_node *
+find_busy(void)
+{
+    for (int i = 0; i < WORKERS; i++) {
+        if (workers[i] && Net_RunningAt(&net, workers[i])) {
+            return workers[i];
+        }
+    }
+    return NULL;
+}
+
+static int
+set_up_small(void **state)
+{
+    *state = &net;
+    memset(workers, 0, sizeof(workers));
+    Net_InitRestartable(&net);
+    Net_AddFleet(&net, workers, 4, entries, ENTRIES);
+    Net_Run(&net, 1500);
+    return 0;
+}
+
+static void
+a_suspect_of_one_crash_is_served_by_a_small_service(void **state)
+{
+    (void)state;
+    for (int i = 0; i < 4; i++) {
+        workers[i]->run_ms = 200;
+    }
+    submit(0, 1, 1, 1);
+    Net_Run(&net, 10);
+    assert_non_null(find_busy());
+    Net_Crash(find_busy());
+    Net_Run(&net, 3000);
+    assert_int_equal(Net_Answer(&net, 1), CODE_OK);
+}
+
 int
 main(void)
 {
@@ -299,6 +336,9 @@
         TEST(a_lost_report_of_a_crash_is_repeated),
         TEST(a_full_table_does_not_forget_a_deadly_task),
         TEST(a_late_task_beside_young_ones_of_a_confined_kind_is_given_up),
+        cmocka_unit_test_setup_teardown(
+            a_suspect_of_one_crash_is_served_by_a_small_service, set_up_small,
+            Net_TearDown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
