A kind is confined only if one of its tasks was young at two crashes

Found by review. It is now also asked that one task of the kind began shortly before two crashes.

a_rolling_replacement_confines_no_sound_kind failed before.

--- a/core/src/entry/confine.c
+++ b/core/src/entry/confine.c
@@ -13,7 +13,9 @@
 #include "place.h"
 #include "subset.h"
 
-/* A kind is confined after this many crashes, CRASH_PAUSE_US apart at most. */
+/* A kind is confined after this many crashes, CRASH_PAUSE_US apart at most, if
+ * one of its tasks was young at two: tasks of a frequent kind are young at
+ * every crash, whatever its cause. */
 #define KIND_CRASHES 2
 /* Confinement ends this long after the last crash. An upstream that has
  * crashed is away for a part of it. */
@@ -150,6 +152,7 @@
         struct ent_kind_stats *kind =
             Enti_GetKind(entry, crash->service, crash->suspects[i].kind);
         if (kind->crashes >= KIND_CRASHES && !is_active(now, kind) &&
+            Enti_WasYoung(entry, &crash->suspects[i]) &&
             is_most_suspected(entry, now, kind)) {
             extend(kind, at_us);
             log_confined(entry, kind);
--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -26,6 +26,14 @@
     return suspect;
 }
 
+int
+Enti_WasYoung(const struct entry *entry, const struct crash_suspect *reported)
+{
+    const struct ent_suspect *suspect =
+        find_suspect(entry, reported->name, reported->task);
+    return suspect && suspect->young > 0;
+}
+
 static void
 remove_suspect(struct ent_crashes *crashes, struct ent_suspect *suspect)
 {
--- a/core/src/entry/job.h
+++ b/core/src/entry/job.h
@@ -141,6 +141,11 @@
  * too often under one of its tasks. Returns whether it did. */
 int Enti_GiveUp(struct entry *entry, struct now now, struct ent_job *job);
 
+/** True if a task that is reported as young at a crash was young at an earlier
+ * one. */
+int Enti_WasYoung(const struct entry *entry,
+                  const struct crash_suspect *reported);
+
 /** Forget the suspects whose latest crash is long ago. */
 void Enti_ExpireSuspects(struct entry *entry, struct now now);
 
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -321,6 +321,33 @@
     assert_int_equal(Net_Answer(&net, 1), CODE_OK);
 }
 
+/* Upstreams crash in turn, a second apart, under tasks that are sound. Without
+ * confinement 1,180 of 1,200 jobs are served. */
+static void
+a_rolling_replacement_confines_no_sound_kind(void **state)
+{
+    uint32_t served = 0;
+    (void)state;
+    for (int i = 0; i < WORKERS; i++) {
+        workers[i]->run_ms = 100;
+    }
+    for (uint32_t i = 0; i < 600; i++) {
+        if (i % 100 == 50) {
+            Net_Crash(workers[i / 100]);
+        }
+        net.reply_count = 0;
+        for (uint32_t j = 0; j < 2; j++) {
+            struct net_job job = {10000 + i * 4 + j, 1, 500, 100, 1500};
+            Net_SubmitJob(entries[(i + j) % ENTRIES], 50 + j, &job);
+        }
+        Net_Run(&net, 10);
+        for (uint32_t j = 0; j < net.reply_count; j++) {
+            served += net.replies[j].code == CODE_OK;
+        }
+    }
+    assert_true(served >= 1100);
+}
+
 int
 main(void)
 {
@@ -335,6 +362,7 @@
         TEST(an_entry_that_starts_learns_which_kinds_are_confined),
         TEST(a_lost_report_of_a_crash_is_repeated),
         TEST(a_full_table_does_not_forget_a_deadly_task),
+        TEST(a_rolling_replacement_confines_no_sound_kind),
         TEST(a_late_task_beside_young_ones_of_a_confined_kind_is_given_up),
         cmocka_unit_test_setup_teardown(
             a_suspect_of_one_crash_is_served_by_a_small_service, set_up_small,
