An upstream without capacity gets no starts

Found by review. A capacity of nothing, to which a room may shrink, was read as one that limits slots only, of which there is no limit: the agent would have started whatever was ordered (LIMIT).

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -50,6 +50,17 @@
     assert_int_equal(heartbeat.announcement.leaving, 1);
 }
 
+static void
+an_upstream_without_capacity_has_no_slots(void **state)
+{
+    struct pf_heartbeat heartbeat;
+    (void)state;
+    assert_int_equal(read_heartbeat(&heartbeat, "ready", "0"), 0);
+    assert_int_equal(heartbeat.announcement.slots, 0);
+    assert_int_equal(read_heartbeat(&heartbeat, "ready", "1"), 0);
+    assert_true(heartbeat.announcement.slots > 0);
+}
+
 static void
 invalid_heartbeats_are_rejected(void **state)
 {
@@ -265,6 +276,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(valid_heartbeat_is_parsed),
+        cmocka_unit_test(an_upstream_without_capacity_has_no_slots),
         cmocka_unit_test(invalid_heartbeats_are_rejected),
         cmocka_unit_test(request_paths_of_upstreams_are_parsed),
         cmocka_unit_test(orders_are_encoded),
