core: an unconfirmed cancellation is called so; comments of crashes

Names and comments only, from the reviews: `uncancelled` read as "not cancelled"; the time of a crash is not that of its report.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -213,7 +213,7 @@
     uint8_t leaving;             /**< The upstream or the agent is stopping. */
     uint32_t outstanding;        /**< Slots taken by this entry's tasks. */
     uint32_t requests;           /**< This entry's unfinished requests. */
-    uint32_t uncancelled;        /**< Tasks of cancelled jobs that it has not
+    uint32_t unconfirmed;        /**< Tasks of cancelled jobs that it has not
                                       confirmed to have ended. */
     uint32_t other_slots;        /**< Slots taken by other entries' tasks, as
                                       last reported. */
--- a/core/include/core/job.h
+++ b/core/include/core/job.h
@@ -30,7 +30,7 @@
     uint32_t step;      /**< Index into ent_job.steps. */
     struct bytes input; /**< Points into ent_job.body. */
     enum ent_task_state state;
-    uint8_t uncancelled; /**< The job is cancelled, and the agent has not
+    uint8_t unconfirmed; /**< The job is cancelled, and the agent has not
                               confirmed that the task does not run. */
     uint8_t may_wait;    /**< The agent may hold the start until a slot is
                               free. */
@@ -169,7 +169,7 @@
     uint64_t sort_key;         /**< Order in its lane, lowest first: a start
                                     tag or Enti_SortKeyByTime(). */
     uint64_t next_resend_us;   /**< No `resend_us` of its tasks is earlier. */
-    uint32_t uncancelled;      /**< Tasks with `uncancelled` set. */
+    uint32_t unconfirmed;      /**< Tasks with `unconfirmed` set. */
     uint64_t cancel_until_us;  /**< When the cancellation is sent no more, 0
                                     before it is sent again. */
     struct ent_job *cancelled_prev, *cancelled_next; /**< Links in
--- a/core/include/core/sched.h
+++ b/core/include/core/sched.h
@@ -110,7 +110,7 @@
     double declared_ratio;   /**< Mean ratio of actual to declared run time. */
     uint32_t crashes;  /**< Crashes of upstreams shortly after the start of a
                             task of this kind; counted anew after a pause. */
-    uint64_t crash_us; /**< When the latest of them was reported. */
+    uint64_t crash_us; /**< When the latest of them happened. */
     uint64_t confined_until_us;     /**< Until then its tasks are confined. */
     struct ent_histogram responses; /**< Of jobs that this entry answered
                                          with CODE_OK. */
--- a/core/src/entry/cancel.c
+++ b/core/src/entry/cancel.c
@@ -31,14 +31,14 @@
 
 /* Whether the task is the first of the job's that may run at its agent. */
 static int
-is_first_uncancelled(const struct ent_job *job, const struct ent_task *task)
+is_first_unconfirmed(const struct ent_job *job, const struct ent_task *task)
 {
     const struct ent_task *other = job->tasks;
-    if (!task->uncancelled) {
+    if (!task->unconfirmed) {
         return 0;
     }
     while (other != task &&
-           !(other->uncancelled && other->agent == task->agent)) {
+           !(other->unconfirmed && other->agent == task->agent)) {
         other++;
     }
     return other == task;
@@ -55,7 +55,7 @@
     for (uint32_t i = 0; i < job->task_count; i++) {
         const struct ent_task *task = &job->tasks[i];
         if ((agent == 0 || task->agent == agent) &&
-            is_first_uncancelled(job, task)) {
+            is_first_unconfirmed(job, task)) {
             CTR_INC(entry->counters, cancels_resent);
             Act_Send(&entry->sink, task->agent, &msg);
         }
@@ -63,32 +63,32 @@
 }
 
 static void
-set_cancelled(struct entry *entry, struct ent_job *job, struct ent_task *task)
+set_confirmed(struct entry *entry, struct ent_job *job, struct ent_task *task)
 {
     struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
-    if (!task->uncancelled) {
+    if (!task->unconfirmed) {
         return;
     }
-    task->uncancelled = 0;
+    task->unconfirmed = 0;
     if (agent) {
-        agent->uncancelled--;
+        agent->unconfirmed--;
     }
-    if (--job->uncancelled == 0) {
+    if (--job->unconfirmed == 0) {
         DL_DELETE2(entry->cancelled_jobs, job, cancelled_prev, cancelled_next);
     }
 }
 
 static void
-set_uncancelled(struct entry *entry, struct ent_job *job,
+set_unconfirmed(struct entry *entry, struct ent_job *job,
                 struct ent_task *task)
 {
     struct ent_peer *agent = Enti_FindPeer(entry, task->agent);
-    if (!agent || task->state != ENT_SENT || task->uncancelled) {
+    if (!agent || task->state != ENT_SENT || task->unconfirmed) {
         return;
     }
-    task->uncancelled = 1;
-    agent->uncancelled++;
-    if (job->uncancelled++ == 0) {
+    task->unconfirmed = 1;
+    agent->unconfirmed++;
+    if (job->unconfirmed++ == 0) {
         job->cancel_until_us = 0;
         DL_APPEND2(entry->cancelled_jobs, job, cancelled_prev, cancelled_next);
     }
@@ -103,15 +103,15 @@
     }
     Enti_SendToAgents(entry, job, &msg);
     for (uint32_t i = 0; Enti_IsRestartable(job) && i < job->task_count; i++) {
-        set_uncancelled(entry, job, &job->tasks[i]);
+        set_unconfirmed(entry, job, &job->tasks[i]);
     }
 }
 
 void
 Enti_ForgetCancel(struct entry *entry, struct ent_job *job)
 {
-    for (uint32_t i = 0; job->uncancelled && i < job->task_count; i++) {
-        set_cancelled(entry, job, &job->tasks[i]);
+    for (uint32_t i = 0; job->unconfirmed && i < job->task_count; i++) {
+        set_confirmed(entry, job, &job->tasks[i]);
     }
 }
 
@@ -130,10 +130,10 @@
 Enti_ConfirmCancel(struct entry *entry, struct ent_job *job, uint64_t agent,
                    const struct msg_result *result)
 {
-    for (uint32_t i = 0; job->uncancelled && i < job->task_count; i++) {
+    for (uint32_t i = 0; job->unconfirmed && i < job->task_count; i++) {
         struct ent_task *task = &job->tasks[i];
         if (task->agent == agent && is_confirmed(task, result)) {
-            set_cancelled(entry, job, task);
+            set_confirmed(entry, job, task);
         }
     }
 }
@@ -143,14 +143,14 @@
 {
     struct ent_job *job;
     struct ent_job *following;
-    if (agent->uncancelled == 0) {
+    if (agent->unconfirmed == 0) {
         return;
     }
     DL_FOREACH_SAFE2(entry->cancelled_jobs, job, following, cancelled_next)
     {
-        for (uint32_t i = 0; job->uncancelled && i < job->task_count; i++) {
+        for (uint32_t i = 0; job->unconfirmed && i < job->task_count; i++) {
             if (job->tasks[i].agent == agent->member.incarnation) {
-                set_cancelled(entry, job, &job->tasks[i]);
+                set_confirmed(entry, job, &job->tasks[i]);
             }
         }
     }
@@ -160,7 +160,7 @@
 Enti_ResendCancelsTo(struct entry *entry, const struct ent_peer *agent)
 {
     const struct ent_job *job;
-    if (agent->uncancelled == 0) {
+    if (agent->unconfirmed == 0) {
         return;
     }
     DL_FOREACH2(entry->cancelled_jobs, job, cancelled_next)
@@ -174,7 +174,7 @@
 {
     CTR_INC(entry->counters, cancels_unconfirmed);
     for (uint32_t i = 0; i < job->task_count; i++) {
-        if (is_first_uncancelled(job, &job->tasks[i])) {
+        if (is_first_unconfirmed(job, &job->tasks[i])) {
             Enti_LogDecision(
                 entry, now, LOG_EVENT_UNCONFIRMED, job, &job->tasks[i],
                 Enti_FindPeer(entry, job->tasks[i].agent), job->code);
--- a/core/src/entry/confine.c
+++ b/core/src/entry/confine.c
@@ -1,9 +1,9 @@
-/* Confinement of tasks that may crash upstreams. Each task of a kind may crash
- * only two upstreams, but there may be more such tasks than upstreams. So
- * while a kind crashes upstreams, its tasks and all suspects run only at a
- * part of the agents of the service, one job at a time at each. The part is
- * the same for all entries and does not depend on which upstreams are away, so
- * that the harm does not move on to the others. */
+/* Confinement of tasks that may crash upstreams. Each task of a kind crashes
+ * a few upstreams before it is given up, and there may be more such tasks than
+ * upstreams. So while a kind crashes upstreams, its tasks and all suspects run
+ * only at a part of the agents of the service, one job at a time at each. The
+ * part is the same for all entries and does not depend on which upstreams are
+ * away, so that the harm does not move on to the others. */
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
--- a/core/src/entry/entry.c
+++ b/core/src/entry/entry.c
@@ -296,7 +296,7 @@
             continue;
         }
         if (Enti_IsRestartable(job)) {
-            if (job->uncancelled == 0) {
+            if (job->unconfirmed == 0) {
                 Enti_DropJob(entry, job);
             }
             continue;
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -284,7 +284,7 @@
     if (job && job->state == ENT_JOB_OPEN) {
         on_open_job_result(entry, now, job, agent, result);
     }
-    else if (job && job->uncancelled) {
+    else if (job && job->unconfirmed) {
         Enti_ConfirmCancel(entry, job, agent->member.incarnation, result);
     }
     else {
--- a/core/src/entry/subset.c
+++ b/core/src/entry/subset.c
@@ -256,7 +256,7 @@
 {
     return Enti_UsesSubset(entry) && agent->member.role == ROLE_AGENT &&
            !agent->in_subset && agent->outstanding == 0 &&
-           agent->requests == 0 && agent->uncancelled == 0 &&
+           agent->requests == 0 && agent->unconfirmed == 0 &&
            now.us - agent->used_us > UNUSED_LINK_US;
 }
 
