--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -102,17 +102,6 @@
     return 1;
 }
 
-static struct ent_task *
-find_task(const struct ent_job *job, uint32_t no)
-{
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        if (job->tasks[i].no == no) {
-            return &job->tasks[i];
-        }
-    }
-    return NULL;
-}
-
 static int
 is_too_many(const struct ent_suspect *suspect)
 {
@@ -176,7 +165,8 @@
                                   .task = reported->task,
                                   .attempt = suspect->crashes,
                                   .code = CODE_WORKER_CRASHED};
-    if (job && job->state == ENT_JOB_OPEN && find_task(job, reported->task)) {
+    if (job && job->state == ENT_JOB_OPEN &&
+        Enti_FindTask(job, reported->task)) {
         Act_LogEvent(&entry->sink, &event);
         if (is_young) {
             mark_suspect(entry, job);
--- a/core/src/entry/job.h
+++ b/core/src/entry/job.h
@@ -163,6 +163,9 @@
 
 /* result.c */
 
+/** Find a task of a job by its number. Returns NULL if there is none. */
+struct ent_task *Enti_FindTask(const struct ent_job *job, uint32_t no);
+
 /** Process the state or outcome of a task, or a refusal, from an agent. */
 void Enti_OnResult(struct entry *entry, struct now now, struct ent_peer *agent,
                    const struct msg_result *result);
--- a/core/src/entry/result.c
+++ b/core/src/entry/result.c
@@ -12,8 +12,8 @@
  * task as running or waiting, to ask for its state. */
 #define RUNNING_RESEND_US (3 * US_PER_S)
 
-static struct ent_task *
-find_task(const struct ent_job *job, uint32_t no)
+struct ent_task *
+Enti_FindTask(const struct ent_job *job, uint32_t no)
 {
     uint32_t low = 0;
     uint32_t high = job->task_count;
@@ -259,7 +259,7 @@
 on_open_job_result(struct entry *entry, struct now now, struct ent_job *job,
                    struct ent_peer *agent, const struct msg_result *result)
 {
-    struct ent_task *task = find_task(job, result->task);
+    struct ent_task *task = Enti_FindTask(job, result->task);
     if (!task || task->state != ENT_SENT ||
         task->agent != agent->member.incarnation) {
         CTR_INC(entry->counters, result_duplicate);
