--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -195,13 +195,13 @@
     enum ent_link link;
     uint8_t in_subset; /**< This entry is a home entry of the agent. */
     uint8_t draining;
+    uint8_t for_confined;                   /**< Confined tasks of the service
+                                                 run here. */
     struct ent_service *service;            /**< NULL for entries. */
     const struct ent_service *last_service; /**< Also while the upstream is
                                                  away. */
-    uint8_t for_confined;       /**< Confined tasks of the service run here. */
     uint64_t confined_job;      /**< Name of the job whose confined tasks this
                                      entry has sent to it. */
-    uint32_t confined_tasks;    /**< Number of these. */
     uint64_t confined_retry_us; /**< Until then other entries' confined tasks
                                      are taken to run there. */
     struct ent_peer *prev, *next; /**< In the service's list of agents. */
@@ -211,6 +211,7 @@
     uint32_t memory_mb;
     uint32_t cores;
     uint8_t leaving;             /**< The upstream or the agent is stopping. */
+    uint32_t confined_tasks;     /**< Tasks of `confined_job`. */
     uint32_t outstanding;        /**< Slots taken by this entry's tasks. */
     uint32_t requests;           /**< This entry's unfinished requests. */
     uint32_t unconfirmed;        /**< Tasks of cancelled jobs that it has not
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -224,7 +224,8 @@
         crash->count = WIRE_MAX_SUSPECTS;
         snprintf(crash->service, sizeof(crash->service), "polishing");
         for (uint32_t j = 0; j < crash->count; j++) {
-            crash->suspects[j].name = first_name + i * WIRE_MAX_SUSPECTS + j;
+            crash->suspects[j].name =
+                first_name + (uint64_t)i * WIRE_MAX_SUSPECTS + j;
             crash->suspects[j].has_begun = 1;
         }
         for (int j = 0; j < ENTRIES; j++) {
