--- a/tests/test_httpd_tls.c
+++ b/tests/test_httpd_tls.c
@@ -62,8 +62,8 @@
 static struct counters counters;
 static SSL_CTX *client_context;
 static char listen_addr[32];
-static char cert_path[] = JP_BUILD_DIR "/test-cert-XXXXXX";
-static char key_path[] = JP_BUILD_DIR "/test-key-XXXXXX";
+static char cert_path[sizeof(JP_BUILD_DIR) + 32];
+static char key_path[sizeof(JP_BUILD_DIR) + 32];
 static int handled_count;
 static int probes_answered;
 
@@ -97,8 +97,13 @@
 {
     EVP_PKEY *key = EVP_RSA_gen(2048);
     X509 *cert = X509_new();
-    FILE *cert_file = fdopen(mkstemp(cert_path), "w");
-    FILE *key_file = fdopen(mkstemp(key_path), "w");
+    /* Copies of this test can run at the same time. */
+    snprintf(cert_path, sizeof(cert_path), JP_BUILD_DIR "/test-cert-%d.pem",
+             (int)getpid());
+    snprintf(key_path, sizeof(key_path), JP_BUILD_DIR "/test-key-%d.pem",
+             (int)getpid());
+    FILE *cert_file = fopen(cert_path, "we");
+    FILE *key_file = fopen(key_path, "we");
     assert_true(key && cert && cert_file && key_file);
     X509_gmtime_adj(X509_getm_notBefore(cert), 0);
     X509_gmtime_adj(X509_getm_notAfter(cert), 86400);
