--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -105,7 +105,8 @@
     uint64_t lease_end_us;
     uint64_t stop_us;       /**< When to repeat the stop order, 0 if none was
                                  given. */
-    uint64_t stop_limit_us; /**< Its Ag_RunLimit() when it was given. */
+    uint64_t stop_limit_us; /**< Ag_RunLimit() when a stop was first
+                                 ordered. */
     uint8_t lease_expired; /**< It is being stopped because its lease ended. */
     uint8_t acked;         /**< The owner has acknowledged the outcome. */
     struct ag_task *prev, *following; /**< Links in `agent.running`. */
