runner: a restart ends only the runs that the new instance cannot have

Cause: orders name the upstream by an identifier that a restart does not change. What is ordered before the restart is known is carried out by the new instance, and Rni_OnRestart() reported all runs as lost, so that the entry placed their tasks elsewhere at once.

Change: a run stays until it is settled, unless the earlier instance has listed it and no start of it can still arrive. The new instance answers a poll under a higher fence, and refuses all earlier orders from then on: what it does not list has ended, the rest is stopped first. The fence is the start time of the instance plus its clock, as its clock alone begins anew. Leases that were computed for the earlier clock count at their longest. A reply whose clock is behind that of its order shows the restart at once.

The same cause elsewhere: a delayed start carried out by the next instance; a listed run with a pending start at a crash; an upstream that refuses the orders of a new agent for as long as its earlier instance had run. After a return of its upstream an agent tells the entries at once.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -97,6 +97,7 @@
     RN_GONE,  /**< The upstream has become unusable. */
     RN_CRASH, /**< The upstream has crashed with runs. RN_END follows for each
                    of them. */
+    RN_RESTART, /**< The upstream has started again. */
 };
 
 /** One action. Pointers in it are valid only during the call of the sink. */
@@ -124,6 +125,10 @@
     uint64_t ago_us;                   /**< RN_CRASH: time since the crash. */
     uint32_t young_count; /**< RN_CRASH: the first of the suspects, which began
                                shortly before the crash. */
+    uint64_t earlier_born_ms; /**< RN_RESTART: start time of the instance
+                                 before `runner.born_ms`. */
+    uint32_t unsettled_count; /**< RN_RESTART: runs that either instance may
+                                   have. */
 };
 
 /** Receiver of the actions. */
@@ -160,8 +165,12 @@
     tab_handle task; /**< 0 for a run that this process did not start. */
     enum rn_state state;
     uint8_t order_pending;    /**< An order is waiting for its reply. */
+    uint8_t start_pending;    /**< It is a start. */
     uint8_t was_running;      /**< The run is known to have begun. */
     uint8_t start_unanswered; /**< A start order got no answer. */
+    uint8_t is_listed;        /**< The current instance has listed it. */
+    uint8_t is_unsettled;     /**< The upstream has restarted, and either
+                                   instance may have carried out its start. */
     uint8_t tries;            /**< Number of times that the start, or the stop,
                                    has been ordered. */
     enum code code;           /**< Code of RN_END once the run is stopped. */
@@ -170,6 +179,8 @@
     uint32_t estimate_ms;     /**< Estimated run time, 0 if not known. */
     uint64_t ordered_us;      /**< When the start was first ordered. */
     uint64_t renewed_us;      /**< When its lease was last renewed. */
+    uint64_t sent_clock_ms;   /**< The upstream's clock as it was known when
+                                   the start was last ordered. */
     uint64_t due_us;          /**< RN_STOPPING: when the stop is ordered again.
                                    RN_STOPPED: when the stop must be
                                    complete. */
@@ -193,6 +204,7 @@
 struct rn_poll {
     uint32_t id; /**< 0 for none. */
     uint64_t sent_us;
+    uint64_t fence;
 };
 
 /** State of one upstream and its runs. */
@@ -200,9 +212,11 @@
     struct rn_sink sink;
     struct counters *counters;
     uint64_t lease_us;
-    uint64_t max_stop_us; /**< Longest time that a stop takes. */
+    uint64_t max_lease_us; /**< Longest lease that the upstream allows. */
+    uint64_t max_stop_us;  /**< Longest time that a stop takes. */
     enum rn_phase phase;
-    uint64_t born_ms;         /**< Start time of the upstream's instance. */
+    uint64_t born_ms;         /**< Start time of the upstream's instance, 0 if
+                                   not known. */
     uint64_t crashed_born_ms; /**< Start time of the instance whose crash was
                                    reported last. */
     uint64_t clock_ms;        /**< The upstream's clock as last received, 0 if
@@ -210,6 +224,8 @@
     uint64_t clock_us;        /**< This process's clock at that time. */
     uint64_t fence;           /**< Sent with orders; the upstream rejects those
                                    with a lower fence than it has seen. */
+    uint64_t first_fence;     /**< The first fence chosen at this instance, or
+                                   after it was unreachable. */
     uint64_t last_ended;      /**< Highest `rn_ended.seq` read. */
     uint32_t last_poll;       /**< Number of the latest poll. */
     struct rn_poll long_poll; /**< Its answer may be delayed until a run
@@ -229,7 +245,11 @@
     uint64_t next_poll_us;
     uint64_t fast_poll_until_us; /**< Until then polls are more frequent, since
                                       answers are being lost. */
+    uint64_t granted_us;      /**< When an order with a lease was last sent. */
     uint64_t leased_until_us; /**< When the latest lease ends at the latest. */
+    uint64_t unknown_lease_until_us; /**< Until then leases may last that were
+                                          computed for the clock of an earlier
+                                          instance. */
     struct tab runs;
     struct rn_run *index;                   /**< `runs` by id. */
     tab_handle unstarted[RN_MAX_UNSTARTED]; /**< Tasks that could not be
@@ -239,10 +259,11 @@
 };
 
 /** Initialise a runner in memory provided by the caller. `lease_us` is the
- * longest lease to be granted, `stop_us` the longest time that a
- * stop takes there. Returns -1 if memory cannot be allocated. */
-int Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t stop_us,
-            struct rn_sink sink, struct counters *counters);
+ * longest lease to be granted, `max_lease_us` the longest that the upstream
+ * allows, `stop_us` the longest time that a stop takes there. Returns -1 if
+ * memory cannot be allocated. */
+int Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t max_lease_us,
+            uint64_t stop_us, struct rn_sink sink, struct counters *counters);
 
 /** Free the memory that the runner owns, but not `runner` itself. */
 void Rn_Finish(struct runner *runner);
--- a/core/src/agent/agent.c
+++ b/core/src/agent/agent.c
@@ -86,7 +86,8 @@
     if (agent->announced_us == 0 || bound < agent->untracked) {
         agent->untracked = bound;
     }
-    int is_changed = has_other_offer(&agent->upstream, announce);
+    int is_changed = agent->announced_us == 0 ||
+                     has_other_offer(&agent->upstream, announce);
     agent->upstream = *announce;
     agent->announced_us = now.us;
     agent->min_occupied = agent->busy + agent->requests;
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -45,7 +45,7 @@
     struct rn_suspect suspects[RN_MAX_SUSPECTS];
     struct rn_act act = {.type = RN_CRASH, .suspects = suspects};
     act.ago_us = now.us - crash_us(runner, now);
-    if (runner->crashed_born_ms == runner->born_ms) {
+    if (runner->born_ms == 0 || runner->crashed_born_ms == runner->born_ms) {
         return;
     }
     add_suspects(runner, now, &act, suspects, 1);
@@ -57,16 +57,16 @@
     }
 }
 
-/* A run whose order is pending, but for a stop of a run that has begun, is
- * kept: a new instance may be listening when a start arrives, and its reply
- * shows what became of it. */
+/* A run whose start is pending is kept, even if it was listed: a new instance
+ * may be listening when the start arrives, and its reply shows what became of
+ * it. */
 static void
 end_crashed(struct runner *runner, struct now now)
 {
     uint32_t slot = 0;
     struct rn_run *run;
     while ((run = Tab_Next(&runner->runs, &slot))) {
-        if (run->order_pending && !run->was_running) {
+        if (run->start_pending) {
             continue;
         }
         CTR_INC(runner->counters, runs_crashed);
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -94,6 +94,8 @@
     act.leased_until_us = runner->leased_until_us;
     act.input = run->input;
     run->order_pending = 1;
+    run->start_pending = 1;
+    run->sent_clock_ms = runner->clock_ms;
     run->tries++;
     run->renewed_us = now.us;
     runner->sink.emit(runner->sink.context, &act);
@@ -250,11 +252,7 @@
         }
         break;
     case RN_FENCED:
-        /* The upstream's clock is higher by now than every fence that was
-         * derived from it. */
-        if (runner->clock_ms > runner->fence) {
-            runner->fence = runner->clock_ms;
-        }
+        Rni_RaiseFence(runner);
         if (is_wanted && retry_start(runner, now, run) == 0) {
             return;
         }
@@ -302,6 +300,7 @@
         return NULL;
     }
     run->order_pending = 0;
+    run->start_pending = 0;
     Rni_SetClock(runner, now, clock_ms);
     if (reply != RN_NO_ANSWER && reply != RN_UNREACHED) {
         runner->last_reply_us = now.us;
@@ -310,14 +309,33 @@
     return run;
 }
 
+/* An upstream whose clock is behind what it was when the order was sent has
+ * restarted. */
+static void
+check_clock(struct runner *runner, struct now now, tab_handle handle,
+            uint64_t clock_ms)
+{
+    const struct rn_run *run = Tab_Get(&runner->runs, handle);
+    if (run && !run->is_unsettled && clock_ms &&
+        clock_ms < run->sent_clock_ms) {
+        Rni_OnRestart(runner, now, 0);
+    }
+}
+
 void
 Rn_OnStarted(struct runner *runner, struct now now, tab_handle handle,
              enum rn_reply reply, uint64_t clock_ms)
 {
+    check_clock(runner, now, handle, clock_ms);
     struct rn_run *run = record_reply(runner, now, handle, reply, clock_ms);
     if (run && reply == RN_NO_ANSWER) {
         Rni_OnReplyLost(runner, now);
     }
+    if (run && run->is_unsettled) {
+        run->start_unanswered |= reply == RN_NO_ANSWER;
+        Rni_Poll(runner, now);
+        return;
+    }
     if (!run || run->state == RN_RUNNING) {
         return;
     }
@@ -354,7 +372,7 @@
         return;
     }
     CTR_INC(runner->counters, stops_unanswered);
-    if (reply == RN_FENCED && runner->clock_ms > runner->fence) {
-        runner->fence = runner->clock_ms;
+    if (reply == RN_FENCED) {
+        Rni_RaiseFence(runner);
     }
 }
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -37,6 +37,7 @@
     int is_known = runner->phase >= RN_CLEARING;
     poll->id = ++runner->last_poll;
     poll->sent_us = now.us;
+    poll->fence = runner->fence;
     act.poll = poll->id;
     act.fence = runner->fence;
     act.last_ended = runner->last_ended;
@@ -113,6 +114,7 @@
 apply_running(struct now now, struct rn_run *run, uint32_t percent)
 {
     run->was_running = 1;
+    run->is_listed = 1;
     if (run->state == RN_STARTING) {
         /* The start order was carried out, even if its answer is lost. */
         run->state = RN_RUNNING;
@@ -138,8 +140,15 @@
     }
 }
 
-static int
-is_listed(const struct rn_view *view, const struct rn_id *id)
+int
+Rni_IsPartial(const struct rn_view *view)
+{
+    return view->running_count == RN_MAX_ROWS ||
+           view->ended_count == RN_MAX_ROWS;
+}
+
+int
+Rni_IsListed(const struct rn_view *view, const struct rn_id *id)
 {
     for (uint32_t i = 0; i < view->running_count; i++) {
         const struct rn_id *found = &view->running[i].id;
@@ -176,14 +185,13 @@
 {
     uint32_t slot = 0;
     struct rn_run *run;
-    if (view->running_count == RN_MAX_ROWS ||
-        view->ended_count == RN_MAX_ROWS) {
+    if (Rni_IsPartial(view)) {
         return;
     }
     while ((run = Tab_Next(&runner->runs, &slot))) {
         uint64_t since_us = listed_from_us(run);
         if (since_us == 0 || since_us >= sent_us ||
-            is_listed(view, &run->id)) {
+            Rni_IsListed(view, &run->id)) {
             continue;
         }
         int never_ran = !run->was_running && run->state == RN_STOPPED;
@@ -223,20 +231,15 @@
     }
 }
 
-/* Handle the first answer, and use the clock in it as the fence. The clock
- * only increases during the life of an instance, so no earlier process can
- * have derived a higher fence from it. */
+/* The runs are known from a view once it was requested under the fence which
+ * makes the upstream refuse all earlier orders. */
 static void
-on_clock(struct runner *runner, struct now now, const struct rn_view *view)
+on_listing(struct runner *runner, struct now now, uint64_t fence,
+           const struct rn_view *view)
 {
-    if (view->born_ms && view->born_ms != runner->born_ms) {
-        Rni_OnRestart(runner, now, view->born_ms);
-        runner->phase = RN_READING_CLOCK;
-        Rni_SetClock(runner, now, view->clock_ms);
-    }
-    if (runner->clock_ms) {
-        runner->fence = runner->clock_ms;
-        runner->phase = RN_LISTING;
+    if (fence >= runner->first_fence && !Rni_IsPartial(view)) {
+        Rni_Settle(runner, now, view);
+        runner->phase = RN_CLEARING;
     }
 }
 
@@ -258,6 +261,7 @@
         return;
     }
     uint64_t sent_us = pending->sent_us;
+    uint64_t fence = pending->fence;
     pending->id = 0;
     if (reply != RN_DONE && reply != RN_FENCED) {
         CTR_INC(runner->counters, looks_unanswered);
@@ -269,20 +273,24 @@
     }
     runner->poll_failures = 0;
     runner->last_reply_us = now.us;
+    if (view->born_ms && view->born_ms != runner->born_ms) {
+        Rni_OnRestart(runner, now, view->born_ms);
+    }
     Rni_SetClock(runner, now, view->clock_ms);
     if (runner->phase == RN_READING_CLOCK) {
-        on_clock(runner, now, view);
-    }
-    else if (reply == RN_FENCED && runner->clock_ms > runner->fence) {
-        runner->fence = runner->clock_ms;
+        if (runner->clock_ms) {
+            Rni_RaiseFence(runner);
+            runner->first_fence = runner->fence;
+            runner->phase = RN_LISTING;
+        }
     }
-    else if (view->born_ms && view->born_ms != runner->born_ms) {
-        Rni_OnRestart(runner, now, view->born_ms);
+    else if (reply == RN_FENCED) {
+        Rni_RaiseFence(runner);
     }
-    else if (reply == RN_DONE) {
+    else {
         Rni_ApplyView(runner, now, sent_us, view);
         if (runner->phase == RN_LISTING) {
-            runner->phase = RN_CLEARING;
+            on_listing(runner, now, fence, view);
         }
     }
     runner->next_poll_us = now.us;
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -13,11 +13,12 @@
 #define STALL_MIN_US (400 * US_PER_MS)
 
 int
-Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t stop_us,
-        struct rn_sink sink, struct counters *counters)
+Rn_Init(struct runner *runner, uint64_t lease_us, uint64_t max_lease_us,
+        uint64_t stop_us, struct rn_sink sink, struct counters *counters)
 {
     memset(runner, 0, sizeof(*runner));
     runner->lease_us = lease_us;
+    runner->max_lease_us = max_lease_us;
     runner->max_stop_us = stop_us;
     runner->sink = sink;
     runner->counters = counters;
@@ -78,6 +79,7 @@
     uint64_t limit_us = earliest_limit_us(runner);
     uint64_t end_us = now.us + runner->lease_us;
     end_us = limit_us < end_us ? limit_us : end_us;
+    runner->granted_us = now.us;
     if (end_us > runner->leased_until_us) {
         runner->leased_until_us = end_us;
     }
@@ -114,27 +116,99 @@
     runner->phase = RN_UNKNOWN;
 }
 
+/* Leases that the new instance may have taken from orders for the earlier one,
+ * computed for another clock, last up to the longest that it allows. None has
+ * arrived there if a connection was refused since. */
+static void
+mark_leases_unknown(struct runner *runner, uint64_t granted_us)
+{
+    uint64_t until_us = granted_us + runner->max_lease_us *
+                                         (100 + RNI_CLOCK_SLACK_PERCENT) / 100;
+    if (granted_us <= runner->connection_refused_us) {
+        return;
+    }
+    runner->unknown_lease_until_us = until_us;
+    if (until_us > runner->leased_until_us) {
+        runner->leased_until_us = until_us;
+    }
+}
+
 void
 Rni_OnRestart(struct runner *runner, struct now now, uint64_t born_ms)
 {
+    struct rn_act act = {.type = RN_RESTART};
     uint32_t slot = 0;
     struct rn_run *run;
+    act.earlier_born_ms = runner->born_ms;
     Rni_Disconnect(runner);
     Rni_ReportCrash(runner, now);
     while ((run = Tab_Next(&runner->runs, &slot))) {
-        Rni_End(runner, now, run, CODE_RUN_LOST);
+        if (run->is_listed && !run->start_pending && !run->start_unanswered) {
+            Rni_End(runner, now, run, CODE_RUN_LOST);
+            continue;
+        }
+        act.unsettled_count++;
+        if (!run->is_unsettled) {
+            CTR_INC(runner->counters, runs_unsettled);
+        }
+        run->is_unsettled = 1;
+        run->is_listed = 0;
+        run->was_running = 1;
+        run->state = RN_STOPPING;
+        run->code = CODE_RUN_LOST;
+        run->due_us = UINT64_MAX;
+        run->sent_clock_ms = 0;
+    }
+    if (runner->granted_us) {
+        mark_leases_unknown(runner, runner->granted_us);
     }
+    runner->phase = RN_READING_CLOCK;
     runner->born_ms = born_ms;
-    runner->fence = 0;
     runner->last_ended = 0;
     runner->clock_ms = 0;
     runner->poll_failures = 0;
-    runner->late_order_until_us = 0;
     /* Ignore answers of the earlier instance to pending polls. */
     runner->long_poll.id = 0;
     runner->short_poll.id = 0;
     runner->want_short_poll = 0;
     runner->next_poll_us = now.us;
+    if (act.earlier_born_ms) {
+        runner->sink.emit(runner->sink.context, &act);
+    }
+}
+
+void
+Rni_RaiseFence(struct runner *runner)
+{
+    uint64_t fence = runner->born_ms + runner->clock_ms;
+    runner->fence = fence > runner->fence ? fence : runner->fence + 1;
+}
+
+void
+Rni_Settle(struct runner *runner, struct now now, const struct rn_view *view)
+{
+    uint32_t slot = 0;
+    uint32_t count = 0;
+    struct rn_run *run;
+    while ((run = Tab_Next(&runner->runs, &slot))) {
+        if (!run->is_unsettled) {
+            continue;
+        }
+        count++;
+        run->is_unsettled = 0;
+        run->tries = 0;
+        run->due_us = now.us;
+        if (!Rni_IsListed(view, &run->id)) {
+            Rni_End(runner, now, run, CODE_RUN_LOST);
+        }
+        else if (!run->order_pending) {
+            Rni_OrderStop(runner, now, run);
+        }
+    }
+    if (count) {
+        mark_leases_unknown(runner, now.us);
+    }
+    runner->late_order_until_us = 0;
 }
 
 void
@@ -181,6 +255,9 @@
         runner->connection_refused_us <= run->renewed_us) {
         return 0;
     }
+    if (now.us < runner->unknown_lease_until_us + RNI_LEASE_SLACK_US) {
+        return 0;
+    }
     uint64_t lease_us =
         runner->lease_us * (100 + RNI_CLOCK_SLACK_PERCENT) / 100;
     return (run->was_running || run->state == RN_STOPPED) &&
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -53,10 +53,30 @@
 /** Record that the leases of all runs are being renewed now. */
 void Rni_MarkRenewed(struct runner *runner, struct now now);
 
-/** Handle a restart of the upstream: end all runs, which belong to its earlier
- * instance, and forget what was known of that instance. */
+/** Handle a restart of the upstream: forget what was known of its earlier
+ * instance, and end the runs that this has listed. A start that was ordered
+ * before the restart was known may have been carried out by either instance,
+ * as orders do not name one; such a run stays until Rni_Settle(). `born_ms` is
+ * 0 if the start time of the new instance is not known yet. */
 void Rni_OnRestart(struct runner *runner, struct now now, uint64_t born_ms);
 
+/** Decide on the runs that were left over from a restart, from a complete
+ * answer to a poll under a fence that no earlier order had. The upstream
+ * refuses those orders since then, so a run which it does not list has ended
+ * with the earlier instance. One that it lists is stopped. */
+void Rni_Settle(struct runner *runner, struct now now,
+                const struct rn_view *view);
+
+/** True if a view lists a run as running. */
+int Rni_IsListed(const struct rn_view *view, const struct rn_id *id);
+
+/** True if a view may lack rows. */
+int Rni_IsPartial(const struct rn_view *view);
+
+/** Choose a fence that is higher than all that were used before, by any agent
+ * and for any instance of the upstream. */
+void Rni_RaiseFence(struct runner *runner);
+
 /** Emit RN_CRASH for an instance that has ended, if tasks had runs there. */
 void Rni_ReportCrash(struct runner *runner, struct now now);
 
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -128,7 +128,7 @@
     call->run = act->run;
     call->poll = act->poll;
     call->id = act->id;
-    call->born_ms = orders->heartbeat.born_ms;
+    call->born_ms = orders->runner.born_ms;
     call->sent_us = Loop_Now().us;
     struct hc_call http = {
         .addr = orders->address,
@@ -211,6 +211,14 @@
     case RN_CRASH:
         on_crash(orders, act);
         break;
+    case RN_RESTART:
+        LOG_WARN("upstream",
+                 "Upstream has restarted, what it runs is requested. id=%s "
+                 "born_ms=%" PRIu64 " earlier_born_ms=%" PRIu64
+                 " unsettled=%u",
+                 orders->heartbeat.id, orders->runner.born_ms,
+                 act->earlier_born_ms, act->unsettled_count);
+        break;
     case RN_READY:
         if (orders->heartbeat.born_ms != orders->runner.born_ms) {
             /* The last heartbeat is from an earlier instance. What this one
@@ -225,7 +233,6 @@
                  orders->heartbeat.announcement.capacity.cpu);
         Ag_OnAnnounce(orders->core, Loop_Now(),
                       &orders->heartbeat.announcement);
-        Ag_BroadcastStatus(orders->core);
         orders->save_upstream(orders->context);
         break;
     case RN_GONE:
@@ -261,7 +268,8 @@
 {
     struct now now = Loop_Now();
     int was_leaving = orders->heartbeat.announcement.leaving;
-    int is_changed = has_other_saved_state(&orders->heartbeat.announcement,
+    int is_changed = orders->heartbeat.born_ms != heartbeat->born_ms ||
+                     has_other_saved_state(&orders->heartbeat.announcement,
                                            &heartbeat->announcement);
     if (is_outdated(orders, heartbeat)) {
         CTR_INC(orders->counters, beats_old);
@@ -343,6 +351,7 @@
     orders->core = core;
     orders->counters = counters;
     if (Rn_Init(&orders->runner, lease_us,
+                (uint64_t)settings->upstream_lease_ms * US_PER_MS,
                 (uint64_t)settings->upstream_stop_ms * US_PER_MS, sink,
                 counters)) {
         return Err_Set(err, CODE_NO_MEMORY,
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -16,6 +16,7 @@
 #include "core/runner.h"
 
 #define LEASE_MS 585
+#define MAX_LEASE_MS 1000
 #define STOP_MS 50
 #define MAX_RUNS 64
 #define MAX_ORDERS 256
@@ -177,6 +178,8 @@
     case RN_GONE:
         ready = 0;
         break;
+    case RN_RESTART:
+        break;
     }
 }
 
@@ -421,8 +424,8 @@
     suspect_count = young_count = 0;
     ended_count = starts = ends = max_concurrent_runs = premature_ends =
         invalidated_count = 0;
-    return Rn_Init(&runner, LEASE_MS * US_PER_MS, STOP_MS * US_PER_MS, sink,
-                   &counters);
+    return Rn_Init(&runner, LEASE_MS * US_PER_MS, MAX_LEASE_MS * US_PER_MS,
+                   STOP_MS * US_PER_MS, sink, &counters);
 }
 
 static int
@@ -433,6 +436,18 @@
     return 0;
 }
 
+/* The upstream crashes and starts again with this clock, and its agent does
+ * not notice. It knows nothing of before. */
+static void
+restart_upstream(uint64_t clock_ms)
+{
+    memset(runs, 0, sizeof(runs));
+    born_ms += 600000;
+    clock_offset_ms = clock_ms - now_ms * clock_percent / 100;
+    fence = lease_end_ms = last_seq = 0;
+    ended_count = invalidated_count = 0;
+}
+
 static void
 announce(void)
 {
--- a/tests/net_upstream.h
+++ b/tests/net_upstream.h
@@ -94,6 +94,7 @@
     case RN_READY:
     case RN_GONE:
     case RN_CRASH:
+    case RN_RESTART:
         break;
     }
 }
@@ -110,8 +111,8 @@
 {
     struct rn_sink sink = {net_on_order, net_run_limit, node};
     uint64_t lease_us = Timing_Lease(&node->net->timing, node->net->lease_us);
-    assert_int_equal(Rn_Init(&node->runner, lease_us, NET_MAX_STOP_US, sink,
-                             &node->net->counters),
+    assert_int_equal(Rn_Init(&node->runner, lease_us, node->net->lease_us,
+                             NET_MAX_STOP_US, sink, &node->net->counters),
                      0);
 }
 
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -11,6 +11,7 @@
 static struct msg_fenced fenced;
 static uint32_t results;
 static uint32_t task_records;
+static uint32_t statuses;
 static struct act_log_event cancelled;
 static uint32_t cancelled_events;
 
@@ -37,6 +38,7 @@
         fenced = msg->u.fenced;
     }
     task_records += msg->type == MSG_TASK_RECORD;
+    statuses += msg->type == MSG_AGENT_STATUS;
 }
 
 static int
@@ -381,6 +383,22 @@
     assert_int_equal(result.code, CODE_NO_SLOT);
 }
 
+/* Entries would take it for unusable until the next heartbeat. */
+static void
+an_upstream_that_returns_is_reported_at_once(void **state)
+{
+    (void)state;
+    struct ag_announce announce = node->agent.upstream;
+    struct msg start = make_start(1, 1, 1);
+    deliver(&start);
+    Ag_OnUpstreamGone(&node->agent, net.now);
+    statuses = 0;
+    Ag_OnAnnounce(&node->agent, net.now, &announce);
+    assert_int_equal(statuses, 1);
+    Ag_OnAnnounce(&node->agent, net.now, &announce);
+    assert_int_equal(statuses, 1);
+}
+
 static void
 requests_are_limited_by_connections(void **state)
 {
@@ -473,6 +491,7 @@
         AGENT_TEST(a_slot_is_not_free_before_the_run_has_ended),
         AGENT_TEST(requests_do_not_count_as_untracked_tasks),
         AGENT_TEST(tasks_from_before_this_process_take_slots),
+        AGENT_TEST(an_upstream_that_returns_is_reported_at_once),
         AGENT_TEST(requests_are_limited_by_connections),
         AGENT_TEST(a_cancellation_is_logged_once),
         AGENT_TEST(a_run_of_an_expired_key_is_stopped_by_its_cancellation),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -167,7 +167,11 @@
     run_ms = 5000;
     announce();
     start_task(1, 1, 0);
-    run_for(20);
+    run_for(300);
+    /* The second one is not listed before the restart, so the new instance may
+     * have it. */
+    start_task(2, 1, 0);
+    run_for(5);
     memset(runs, 0, sizeof(runs));
     born_ms += 10;
     fence = ended_count = 0;
@@ -176,8 +180,160 @@
     Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
     assert_int_equal(ends, 1);
     assert_int_equal(last_code, CODE_RUN_LOST);
+    run_for(10);
+    assert_int_equal(ends, 2);
+    assert_int_equal(last_code, CODE_RUN_LOST);
+    run_for(100);
+    assert_true(ready);
+}
+
+/* An upstream that has restarted is ordered to start a run before its agent
+ * knows, and the run goes on after it was reported as lost. */
+static void
+a_run_that_a_new_instance_took_is_stopped_before_it_ends(void **state)
+{
+    static const uint64_t clocks_ms[] = {100, 500000};
+    (void)state;
+    for (uint32_t i = 0; i < 2; i++) {
+        set_up(NULL);
+        run_ms = 5000;
+        announce();
+        run_for(500);
+        restart_upstream(clocks_ms[i]);
+        start_task(1, 1, 0);
+        start_task(2, 1, 0);
+        run_for(2);
+        assert_int_equal(max_concurrent_runs, 1);
+        run_for(700);
+        assert_int_equal(premature_ends, 0);
+        assert_int_equal(ends, 2);
+        assert_int_equal(last_code, CODE_RUN_LOST);
+        assert_true(ready);
+        tear_down(NULL);
+    }
+    set_up(NULL);
+}
+
+/* Its order was sent at a time of the earlier instance's clock, and the reply
+ * comes after the announcement. */
+static void
+a_reply_of_the_known_instance_is_no_restart(void **state)
+{
+    (void)state;
+    run_ms = 5000;
+    announce();
+    run_for(500);
+    restart_upstream(100);
+    start_task(1, 1, 0);
+    orders[0].due_ms = now_ms + 20;
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    fence = 0;
+    run_for(10);
+    uint64_t known_born_ms = runner.born_ms;
+    run_for(300);
+    assert_int_equal(runner.born_ms, known_born_ms);
+    assert_true(ready);
+    assert_int_equal(premature_ends, 0);
+    assert_int_equal(ends, 1);
+}
+
+/* The new instance does not answer, and ends the run by a lease that was
+ * computed for the clock of the earlier one. */
+static void
+a_run_at_a_mute_new_instance_ends_after_its_longest_lease(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    announce();
+    restart_upstream(100);
+    start_task(1, 1, 0);
+    run_for(2);
+    lease_end_ms = upstream_clock_ms() + MAX_LEASE_MS;
+    is_unresponsive = 1;
+    run_for(8000);
+    is_unresponsive = 0;
+    assert_int_equal(premature_ends, 0);
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    run_for(20000);
+    assert_int_equal(premature_ends, 0);
+    assert_int_equal(ends, 1);
+}
+
+/* A start whose answer is lost reaches the instance after the one that it was
+ * sent to, after its task was placed elsewhere. */
+static void
+a_delayed_start_is_not_carried_out_by_a_new_instance(void **state)
+{
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    run_ms = 5000;
+    announce();
+    run_for(500);
+    starts_to_lose = 1;
+    lost_start_delay_ms = 1500;
+    start_task(1, 1, 0);
+    run_for(1);
+    restart_upstream(100);
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    for (int i = 0; i < 4000; i++) {
+        run_for(1);
+        assert_false(ends && find_run(&id));
+    }
+    assert_int_equal(ends, 1);
+    assert_int_equal(last_code, CODE_RUN_LOST);
+}
+
+/* Its start may be on its way to the next instance. */
+static void
+a_listed_run_with_a_pending_start_is_kept_at_a_crash(void **state)
+{
+    static struct rn_view view;
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    run_ms = 50000;
+    announce();
+    starts_to_lose = 1;
+    lost_start_delay_ms = 5000;
+    start_task(1, 1, 0);
+    run_for(101);
+    assert_int_equal(starts, 2);
+    add_run(&id);
+    fill_view(&view, 0);
+    Rn_OnPoll(&runner, now(), runner.long_poll.id, RN_DONE, &view);
+    Rn_OnConnectionRefused(&runner, now(), born_ms, 0);
+    assert_int_equal(ends, 0);
+    run_for(3);
+    assert_int_equal(ends, 0);
+}
+
+/* A new agent, which knows nothing of the one before, would be refused until
+ * the clock has passed the fence of the earlier instance. */
+static void
+a_restarted_agent_can_use_a_new_instance_at_once(void **state)
+{
+    struct rn_sink sink = {emit, run_limit, NULL};
+    (void)state;
+    born_ms = 1700000000000;
+    announce();
+    start_task(1, 1, 0);
     run_for(100);
+    restart_upstream(100);
+    start_task(2, 1, 0);
+    run_for(300);
+    Rn_Finish(&runner);
+    assert_int_equal(Rn_Init(&runner, LEASE_MS * US_PER_MS,
+                             MAX_LEASE_MS * US_PER_MS, STOP_MS * US_PER_MS,
+                             sink, &counters),
+                     0);
+    memset(orders, 0, sizeof(orders));
+    ready = 0;
+    announce();
     assert_true(ready);
+    ends = 0;
+    start_task(3, 1, 0);
+    run_for(100);
+    assert_int_equal(last_code, CODE_OK);
+    assert_int_equal(ends, 1);
 }
 
 static void
@@ -491,6 +647,12 @@
         TEST(unanswered_start_is_found_in_list_of_runs),
         TEST(refused_resend_does_not_end_unanswered_start),
         TEST(restart_of_upstream_ends_all_runs),
+        TEST(a_run_that_a_new_instance_took_is_stopped_before_it_ends),
+        TEST(a_reply_of_the_known_instance_is_no_restart),
+        TEST(a_run_at_a_mute_new_instance_ends_after_its_longest_lease),
+        TEST(a_delayed_start_is_not_carried_out_by_a_new_instance),
+        TEST(a_listed_run_with_a_pending_start_is_kept_at_a_crash),
+        TEST(a_restarted_agent_can_use_a_new_instance_at_once),
         TEST(announcement_of_earlier_instance_is_ignored),
         TEST(lost_poll_may_renew_leases),
         TEST(runs_of_a_leaving_upstream_last_until_leases_expire),
