runner: a run that may have begun is not reported as not run

Cause: a start is carried out without a response, its repetition is refused, and the run is stopped. Its task then ended with the code of the refusal, which is true of the second order only. outcome_code() corrected that for two codes.

Evidence: the log of a job has no-answer, not-now (503) and "Run ended. code=UNHEALTHY" 23 ms later. That is the time of a listed stop; a run that is taken as never begun ends after 100 ms. The entry was told "not run" of each attempt, so it forgot nothing.

Change: Rni_End() takes what shows the end, and core/src/runner/end.c states what each proves. A code that says "not run" passes only with evidence that the run has never begun. The log names it: code=RUN_LOST because=listed.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -100,6 +100,17 @@
     RN_RESTART, /**< The upstream has started again. */
 };
 
+/** What shows that a run is over; runner/end.c states what each proves. */
+enum rn_evidence {
+    RN_REFUSED,   /**< Its start orders were refused. */
+    RN_ELSEWHERE, /**< Another upstream is at the address. */
+    RN_LISTED,    /**< The upstream lists its end. */
+    RN_UNLISTED, /**< The upstream lists it neither as running nor as ended. */
+    RN_RESTARTED, /**< The upstream has restarted, and does not have it. */
+    RN_CRASHED,   /**< No process listens at the upstream's address. */
+    RN_LAPSED,    /**< Its lease has ended. */
+};
+
 /** One action. Pointers in it are valid only during the call of the sink. */
 struct rn_act {
     enum rn_act_type type;
@@ -109,17 +120,18 @@
     uint64_t fence;        /**< RN_START, RN_STOP, RN_POLL: `runner.fence`. */
     uint64_t lease_end_ms; /**< End of the leases on the upstream's clock, 0 to
                                 leave them unchanged. */
-    uint64_t leased_until_us; /**< RN_START, RN_POLL: when the latest lease at
-                                   the upstream ends. */
-    struct bytes input;       /**< RN_START. */
-    uint64_t last_ended;      /**< RN_POLL: highest `rn_ended.seq` read; the
-                                   upstream may remove ends up to it. */
-    uint32_t poll;            /**< RN_POLL: to be passed to Rn_OnPoll(). */
-    uint32_t wait_ms;         /**< RN_POLL: longest time that the upstream may
-                                   delay its answer until a run ends. */
-    tab_handle task;          /**< RN_END. */
-    enum code code;           /**< RN_END: outcome of the task. */
-    uint32_t run_us;          /**< RN_END: time since the first start order. */
+    uint64_t leased_until_us;  /**< RN_START, RN_POLL: when the latest lease at
+                                    the upstream ends. */
+    struct bytes input;        /**< RN_START. */
+    uint64_t last_ended;       /**< RN_POLL: highest `rn_ended.seq` read; the
+                                    upstream may remove ends up to it. */
+    uint32_t poll;             /**< RN_POLL: to be passed to Rn_OnPoll(). */
+    uint32_t wait_ms;          /**< RN_POLL: longest time that the upstream may
+                                    delay its answer until a run ends. */
+    tab_handle task;           /**< RN_END. */
+    enum code code;            /**< RN_END: outcome of the task. */
+    enum rn_evidence evidence; /**< RN_END. */
+    uint32_t run_us; /**< RN_END: time since the first start order. */
     const struct rn_suspect *suspects; /**< RN_CRASH. */
     uint32_t suspect_count;            /**< RN_CRASH. */
     uint64_t ago_us;                   /**< RN_CRASH: time since the crash. */
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -70,7 +70,7 @@
             continue;
         }
         CTR_INC(runner->counters, runs_crashed);
-        Rni_End(runner, now, run, CODE_WORKER_CRASHED);
+        Rni_End(runner, now, run, RN_CRASHED, CODE_WORKER_CRASHED);
     }
 }
 
--- /dev/null
+++ b/core/src/runner/end.c
@@ -0,0 +1,69 @@
+/* Ends of runs.
+ *
+ * RN_END is emitted only when nothing of a run goes on and no order can begin
+ * it any more. What shows that, and what it says of the run:
+ *
+ *   RN_REFUSED    Each start order was answered by a refusal. It has not
+ *                 begun, unless an earlier order got no answer.
+ *   RN_ELSEWHERE  Another upstream answers at the address. The run is over
+ *                 with its upstream; it may have begun.
+ *   RN_LISTED     The upstream lists its end. It had begun, also if it is
+ *                 listed as stopped.
+ *   RN_UNLISTED   It is in neither list, in an answer to a poll that was sent
+ *                 after the start, or the stop, was acknowledged. A start that
+ *                 was acknowledged had begun; a stopped run had not, unless a
+ *                 start was acknowledged or it was listed.
+ *   RN_RESTARTED  The instance that listed it has been replaced, or the new
+ *                 one, which refuses the fences used until then, does not list
+ *                 it. It may have begun.
+ *   RN_CRASHED    No process listens at the address, and no start is on its
+ *                 way. It may have begun.
+ *   RN_LAPSED     Its lease has ended by the slowest clock, and no order can
+ *                 renew it. It had begun.
+ *
+ * Nothing else ends a run: not a refusal after an order without an answer, not
+ * the silence of the upstream, not its restart. An instance keeps refusing a
+ * run that it has ended; the next one does so from the first poll under a new
+ * fence. Before that a run with an order on its way has not ended. */
+#include <stdlib.h>
+
+#include "runner_impl.h"
+
+static int
+has_never_begun(const struct rn_run *run, enum rn_evidence evidence)
+{
+    switch (evidence) {
+    case RN_REFUSED:
+        return !run->was_running && !run->start_unanswered;
+    case RN_UNLISTED:
+        return !run->was_running && run->state == RN_STOPPED;
+    case RN_ELSEWHERE:
+    case RN_LISTED:
+    case RN_RESTARTED:
+    case RN_CRASHED:
+    case RN_LAPSED:
+        break;
+    }
+    return 0;
+}
+
+void
+Rni_End(struct runner *runner, struct now now, struct rn_run *run,
+        enum rn_evidence evidence, enum code code)
+{
+    struct rn_act act = {.type = RN_END};
+    if (Code_Run(code) == CODE_NOT_RUN && !has_never_begun(run, evidence)) {
+        code = CODE_RUN_LOST;
+    }
+    act.task = run->task;
+    act.id = run->id;
+    act.code = code;
+    act.evidence = evidence;
+    act.run_us = (uint32_t)(now.us - run->ordered_us);
+    Rni_DropInput(run);
+    HASH_DELETE(hh, runner->index, run);
+    Tab_Remove(&runner->runs, run);
+    if (act.task) {
+        runner->sink.emit(runner->sink.context, &act);
+    }
+}
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -59,30 +59,13 @@
     HASH_ADD(hh, runner->index, id, sizeof(run->id), run);
 }
 
-static void
-drop_input(struct rn_run *run)
+void
+Rni_DropInput(struct rn_run *run)
 {
     free((void *)run->input.data);
     run->input = (struct bytes){NULL, 0};
 }
 
-void
-Rni_End(struct runner *runner, struct now now, struct rn_run *run,
-        enum code code)
-{
-    struct rn_act act = {.type = RN_END};
-    act.task = run->task;
-    act.id = run->id;
-    act.code = code;
-    act.run_us = (uint32_t)(now.us - run->ordered_us);
-    drop_input(run);
-    HASH_DELETE(hh, runner->index, run);
-    Tab_Remove(&runner->runs, run);
-    if (act.task) {
-        runner->sink.emit(runner->sink.context, &act);
-    }
-}
-
 void
 Rni_OrderStart(struct runner *runner, struct now now, struct rn_run *run)
 {
@@ -206,7 +189,7 @@
     run->was_running = 1;
     run->acked_us = now.us;
     run->progress_us = 0;
-    drop_input(run);
+    Rni_DropInput(run);
     if (run->state == RN_STARTING) {
         run->state = RN_RUNNING;
         Rni_Poll(runner, now);
@@ -224,7 +207,7 @@
         enum code code)
 {
     if (!run->start_unanswered) {
-        Rni_End(runner, now, run, code);
+        Rni_End(runner, now, run, RN_REFUSED, code);
         return;
     }
     run->state = RN_STARTING;
@@ -278,10 +261,10 @@
         }
         break;
     case RN_OTHER_INSTANCE:
-        /* The runs of the earlier instance ended with it. */
-        run->start_unanswered = 0;
         Rni_Disconnect(runner);
-        break;
+        Rni_End(runner, now, run, RN_ELSEWHERE,
+                is_wanted ? CODE_NO_UPSTREAM : run->code);
+        return;
     case RN_DONE:
     case RN_NO_ANSWER:
         break;
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -80,12 +80,7 @@
     case RN_OUTCOME_FAILED:
         return CODE_TASK_FAILED;
     case RN_OUTCOME_STOPPED:
-        /* The run was stopped because its start seemed to have failed, but it
-         * had been running. */
-        if (run->code == CODE_NO_UPSTREAM || run->code == CODE_OK) {
-            return CODE_RUN_LOST;
-        }
-        return run->code;
+        return run->code == CODE_OK ? CODE_RUN_LOST : run->code;
     case RN_OUTCOME_LOST:
         break;
     }
@@ -105,7 +100,8 @@
             ended->seq > runner->last_ended ? ended->seq : runner->last_ended;
         struct rn_run *run = Rni_Find(runner, &ended->id);
         if (run) {
-            Rni_End(runner, now, run, outcome_code(run, ended->outcome));
+            Rni_End(runner, now, run, RN_LISTED,
+                    outcome_code(run, ended->outcome));
         }
     }
 }
@@ -194,8 +190,8 @@
             Rni_IsListed(view, &run->id)) {
             continue;
         }
-        int never_ran = !run->was_running && run->state == RN_STOPPED;
-        Rni_End(runner, now, run, never_ran ? run->code : CODE_RUN_LOST);
+        Rni_End(runner, now, run, RN_UNLISTED,
+                run->state == RN_STOPPED ? run->code : CODE_RUN_LOST);
     }
 }
 
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -144,7 +144,7 @@
     Rni_ReportCrash(runner, now);
     while ((run = Tab_Next(&runner->runs, &slot))) {
         if (run->is_listed && !run->start_pending && !run->start_unanswered) {
-            Rni_End(runner, now, run, CODE_RUN_LOST);
+            Rni_End(runner, now, run, RN_RESTARTED, CODE_RUN_LOST);
             continue;
         }
         act.unsettled_count++;
@@ -199,7 +199,7 @@
         run->tries = 0;
         run->due_us = now.us;
         if (!Rni_IsListed(view, &run->id)) {
-            Rni_End(runner, now, run, CODE_RUN_LOST);
+            Rni_End(runner, now, run, RN_RESTARTED, CODE_RUN_LOST);
         }
         else if (!run->order_pending) {
             Rni_OrderStop(runner, now, run);
@@ -320,7 +320,7 @@
             runner->want_short_poll = 1;
         }
         if (is_lease_over(runner, now, run)) {
-            Rni_End(runner, now, run, CODE_RUN_LOST);
+            Rni_End(runner, now, run, RN_LAPSED, CODE_RUN_LOST);
         }
         else if (is_stalled(now, run)) {
             CTR_INC(runner->counters, runs_stalled);
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -24,10 +24,14 @@
 /** Change the number in the id of a run. */
 void Rni_Renumber(struct runner *runner, struct rn_run *run, uint32_t number);
 
-/** Remove a run that is over, and emit RN_END with `code` if it belongs to a
- * task. */
+/** Free the input of a run. */
+void Rni_DropInput(struct rn_run *run);
+
+/** Remove a run that is over, and emit RN_END if it belongs to a task. Its
+ * code is `code`, or CODE_RUN_LOST if that states that the run has not begun
+ * and `evidence` does not show it. */
 void Rni_End(struct runner *runner, struct now now, struct rn_run *run,
-             enum code code);
+             enum rn_evidence evidence, enum code code);
 
 /** Order the start of a run, for the first time or again. */
 void Rni_OrderStart(struct runner *runner, struct now now, struct rn_run *run);
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -39,6 +39,15 @@
     return names[reply];
 }
 
+static const char *
+evidence_name(enum rn_evidence evidence)
+{
+    static const char *const names[] = {"refused",  "elsewhere", "listed",
+                                        "unlisted", "restarted", "crashed",
+                                        "lapsed"};
+    return names[evidence];
+}
+
 static void
 on_poll_reply(struct order_call *call, const struct hc_result *http)
 {
@@ -153,9 +162,10 @@
 {
     struct bytes none = {NULL, 0};
     LOG_INFO("upstream",
-             "Run ended. job=%016" PRIx64 " task=%u run=%u code=%s run_us=%u",
+             "Run ended. job=%016" PRIx64
+             " task=%u run=%u code=%s because=%s run_us=%u",
              act->id.job, act->id.task, act->id.number, Code_Name(act->code),
-             act->run_us);
+             evidence_name(act->evidence), act->run_us);
     Ag_OnTaskEnd(orders->core, Loop_Now(), act->task, act->code, none,
                  act->run_us);
 }
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -326,6 +326,9 @@
     order->used = 0;
     enum rn_reply reply = execute(&act);
     if (order->reply_lost) {
+        /* Kept until the runner is told that no answer came. */
+        order->used = order->reply_lost == 1;
+        order->due_ms = UINT64_MAX;
         return;
     }
     switch (act.type) {
@@ -350,6 +353,7 @@
         if (order->used && order->reply_lost == 1 &&
             now_ms >= order->sent_ms + 100) {
             order->reply_lost = 2;
+            order->used = order->due_ms != UINT64_MAX;
             Rn_OnStarted(&runner, now(), order->act.run, RN_NO_ANSWER, 0);
         }
     }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -138,6 +138,11 @@
     assert_int_equal(Pf_ReadReply(409, 1, none, &clock), RN_NOT_NOW);
     assert_int_equal(Pf_ReadReply(421, 1, none, &clock), RN_OTHER_INSTANCE);
     assert_int_equal(Pf_ReadReply(503, 1, none, &clock), RN_NOT_NOW);
+    assert_int_equal(Pf_ReadReply(429, 1, none, &clock), RN_NOT_NOW);
+    /* Nothing is said of whether these were carried out. */
+    assert_int_equal(Pf_ReadReply(500, 1, none, &clock), RN_NO_ANSWER);
+    assert_int_equal(Pf_ReadReply(504, 1, none, &clock), RN_NO_ANSWER);
+    assert_int_equal(Pf_ReadReply(302, 1, none, &clock), RN_NO_ANSWER);
 }
 
 static void
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -160,6 +160,35 @@
     }
 }
 
+/* The job's caller would be told that it has never run. The start is carried
+ * out without an answer, and its repetition is refused. */
+static void
+a_run_that_has_begun_is_not_reported_as_not_run(void **state)
+{
+    static const enum rn_reply refusals[] = {
+        RN_NOT_NOW, RN_NO_ROOM, RN_NOT_UNDERSTOOD, RN_UNREACHED,
+        RN_LATE,    RN_FENCED,  RN_OTHER_INSTANCE};
+    (void)state;
+    for (uint32_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
+        struct rn_id id = {.job = 1, .number = 1};
+        set_up(NULL);
+        run_ms = 5000;
+        announce();
+        run_for(300);
+        starts_to_lose = 1;
+        lost_start_delay_ms = 20;
+        start_task(1, 1, 0);
+        run_for(50);
+        assert_non_null(find_run(&id));
+        start_refusal = refusals[i];
+        run_for(500);
+        assert_int_equal(ends, 1);
+        assert_int_not_equal(Code_Run(last_code), CODE_NOT_RUN);
+        tear_down(NULL);
+    }
+    set_up(NULL);
+}
+
 static void
 restart_of_upstream_ends_all_runs(void **state)
 {
@@ -646,6 +675,7 @@
         TEST(unanswered_start_is_invalidated_before_task_ends),
         TEST(unanswered_start_is_found_in_list_of_runs),
         TEST(refused_resend_does_not_end_unanswered_start),
+        TEST(a_run_that_has_begun_is_not_reported_as_not_run),
         TEST(restart_of_upstream_ends_all_runs),
         TEST(a_run_that_a_new_instance_took_is_stopped_before_it_ends),
         TEST(a_reply_of_the_known_instance_is_no_restart),
