runner: a list of 500 ends is partial

The upstream lists at most 500 ends at a time. A run whose end was the next one was in neither list, and was taken as lost or, after a stop, as never begun. The runner took only lists of 512 rows for cut off, which the upstream never sends.

The reader of the platform now says whether a list is partial.

Tests: a_full_list_of_ends_is_partial and a_run_missing_from_a_partial_list_has_not_ended fail with the limit of before and without the check.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -67,9 +67,11 @@
 
 /** Answer of an upstream to a poll. */
 struct rn_view {
-    uint64_t clock_ms; /**< The upstream's monotonic clock, 0 if missing. */
-    uint64_t born_ms;  /**< Start time of this instance, in milliseconds since
-                            1970; 0 if missing. */
+    uint64_t clock_ms;  /**< The upstream's monotonic clock, 0 if missing. */
+    uint64_t born_ms;   /**< Start time of this instance, in milliseconds since
+                             1970; 0 if missing. */
+    uint8_t is_partial; /**< A list may lack rows, so nothing is concluded from
+                             a run that is in neither. */
     uint32_t running_count;
     uint32_t ended_count;
     struct rn_running running[RN_MAX_ROWS];
--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -9,7 +9,7 @@
  *                 with its upstream; it may have begun.
  *   RN_LISTED     The upstream lists its end. It had begun, also if it is
  *                 listed as stopped.
- *   RN_UNLISTED   It is in neither list, in an answer to a poll that was sent
+ *   RN_UNLISTED   It is in neither list, in a whole answer to a poll sent
  *                 after the start, or the stop, was acknowledged. A start that
  *                 was acknowledged had begun; a stopped run had not, unless a
  *                 start was acknowledged or it was listed.
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -136,13 +136,6 @@
     }
 }
 
-int
-Rni_IsPartial(const struct rn_view *view)
-{
-    return view->running_count == RN_MAX_ROWS ||
-           view->ended_count == RN_MAX_ROWS;
-}
-
 int
 Rni_IsListed(const struct rn_view *view, const struct rn_id *id)
 {
@@ -173,15 +166,14 @@
     }
 }
 
-/* End the runs that are missing from both lists. A full list may be
- * incomplete, so nothing is concluded from it. */
+/* End the runs that are missing from both lists. */
 static void
 end_missing(struct runner *runner, struct now now, uint64_t sent_us,
             const struct rn_view *view)
 {
     uint32_t slot = 0;
     struct rn_run *run;
-    if (Rni_IsPartial(view)) {
+    if (view->is_partial) {
         return;
     }
     while ((run = Tab_Next(&runner->runs, &slot))) {
@@ -233,7 +225,7 @@
 on_listing(struct runner *runner, struct now now, uint64_t fence,
            const struct rn_view *view)
 {
-    if (fence >= runner->first_fence && !Rni_IsPartial(view)) {
+    if (fence >= runner->first_fence && !view->is_partial) {
         Rni_Settle(runner, now, view);
         runner->phase = RN_CLEARING;
     }
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -74,9 +74,6 @@
 /** True if a view lists a run as running. */
 int Rni_IsListed(const struct rn_view *view, const struct rn_id *id);
 
-/** True if a view may lack rows. */
-int Rni_IsPartial(const struct rn_view *view);
-
 /** Choose a fence that is higher than all that were used before, by any agent
  * and for any instance of the upstream. */
 void Rni_RaiseFence(struct runner *runner);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -171,6 +171,32 @@
     assert_int_equal(Pf_ReadView(200, 1, text("oops"), &view), RN_NO_ANSWER);
 }
 
+/* The upstream lists 500 ends at a time. A run whose end is the next one is in
+ * neither list. */
+static void
+a_full_list_of_ends_is_partial(void **state)
+{
+    static struct rn_view view;
+    static const int counts[] = {499, 500};
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        json_t *rows = json_array();
+        for (int seq = 1; seq <= counts[i]; seq++) {
+            json_array_append_new(rows, json_pack("[i,s,i,s,s]", seq,
+                                                  "5c0e7a21d94b36f8.0.0.9", 1,
+                                                  "done", ""));
+        }
+        json_t *root = json_pack("{s:i,s:[],s:o}", "clockMs", 5, "running",
+                                 "ended", rows);
+        char *body = json_dumps(root, 0);
+        assert_int_equal(Pf_ReadView(200, 1, text(body), &view), RN_DONE);
+        assert_int_equal(view.ended_count, counts[i]);
+        assert_int_equal(view.is_partial, i);
+        free(body);
+        json_decref(root);
+    }
+}
+
 static void
 rows_of_table_service_are_parsed(void **state)
 {
@@ -287,6 +313,7 @@
         cmocka_unit_test(orders_are_encoded),
         cmocka_unit_test(replies_are_classified),
         cmocka_unit_test(lists_of_runs_are_parsed_without_foreign_rows),
+        cmocka_unit_test(a_full_list_of_ends_is_partial),
         cmocka_unit_test(rows_of_table_service_are_parsed),
         cmocka_unit_test(operator_rows_are_converted),
         cmocka_unit_test(commit_is_encoded),
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -189,6 +189,24 @@
     set_up(NULL);
 }
 
+/* Its end is on the next page. */
+static void
+a_run_missing_from_a_partial_list_has_not_ended(void **state)
+{
+    static struct rn_view view;
+    (void)state;
+    run_ms = 5000;
+    announce();
+    run_for(300);
+    start_task(1, 1, 0);
+    run_for(250);
+    view.is_partial = 1;
+    view.clock_ms = upstream_clock_ms();
+    view.born_ms = born_ms;
+    Rn_OnPoll(&runner, now(), runner.long_poll.id, RN_DONE, &view);
+    assert_int_equal(ends, 0);
+}
+
 static void
 restart_of_upstream_ends_all_runs(void **state)
 {
@@ -676,6 +694,7 @@
         TEST(unanswered_start_is_found_in_list_of_runs),
         TEST(refused_resend_does_not_end_unanswered_start),
         TEST(a_run_that_has_begun_is_not_reported_as_not_run),
+        TEST(a_run_missing_from_a_partial_list_has_not_ended),
         TEST(restart_of_upstream_ends_all_runs),
         TEST(a_run_that_a_new_instance_took_is_stopped_before_it_ends),
         TEST(a_reply_of_the_known_instance_is_no_restart),
