Odd rows and heartbeats of another writer name nothing to be used

Reported for similar systems: an entry among those of the executors that is very deeply nested, or has a number too large or a port out of range, ends the processes that read the list, or they stop following it.

Seen here: no process ends. A row nested by 2,046 to 2,048 levels is read, but what an entry then sends to another one with all rows cannot be parsed there. A heartbeat with a port out of range or a name as address is accepted in place of the agent's upstream. The capacity in a member's row is cut to 32 bits, and a member needs no valid address.

Cause: what is read from rows was checked for its type, not for its range. The parser's own limits ruled out the two other hypotheses: an overflow of the stack (it stops at 2,048 levels) and an answer that is lost as a whole (each value is parsed by itself).

Addr_Split() moves from shell to base, as platform uses it.

--- a/base/include/base/json.h
+++ b/base/include/base/json.h
@@ -17,4 +17,8 @@
  * it is missing, not a string, or longer than `size` - 1 bytes. */
 int Js_CopyText(char *out, size_t size, const json_t *root, const char *field);
 
+/** True if `json` is nested by more than `limit` levels of arrays and
+ * objects. */
+int Js_IsDeeper(const json_t *json, unsigned limit);
+
 #endif
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -4,7 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/log.h"
+#include "shell/registry.h"
 #include "shell/settings.h"
 
 /* Maximum number of concurrent orders. */
@@ -414,22 +416,20 @@
     const char *id;
     const char *address;
     const char *service;
+    struct resources all;
     json_int_t born_ms;
-    json_int_t cpu;
-    json_int_t memory_mb;
-    json_int_t gpu;
     int leaving = 0;
     if (orders->has_heartbeat ||
-        json_unpack((json_t *)saved, "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s?b}", "id",
-                    &id, "address", &address, "service", &service, "born_ms",
-                    &born_ms, "cpu", &cpu, "memory_mb", &memory_mb, "gpu",
-                    &gpu, "leaving", &leaving)) {
+        json_unpack((json_t *)saved, "{s:s,s:s,s:s,s:I,s?b}", "id", &id,
+                    "address", &address, "service", &service, "born_ms",
+                    &born_ms, "leaving", &leaving) ||
+        Reg_ReadCapacity(&all, saved) || !Addr_IsNumeric(address) ||
+        born_ms < 0) {
         return;
     }
     snprintf(heartbeat.id, sizeof(heartbeat.id), "%s", id);
     snprintf(heartbeat.address, sizeof(heartbeat.address), "%s", address);
     heartbeat.born_ms = (uint64_t)born_ms;
-    struct resources all = {(uint32_t)cpu, (uint32_t)memory_mb, (uint32_t)gpu};
     Pf_FillAnnouncement(&heartbeat.announcement, service, &all);
     json_array_foreach(json_object_get(saved, "labels"), i, label)
     {
--- a/fuzz/fuzz_addr.c
+++ b/fuzz/fuzz_addr.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "fuzz.h"
 #include "shell/httpd.h"
 
@@ -14,7 +15,7 @@
     int port;
     if (size < sizeof(text)) {
         memcpy(text, data, size);
-        if (Hs_SplitAddr(text, host, sizeof(host), &port) == 0 &&
+        if (Addr_Split(text, host, sizeof(host), &port) == 0 &&
             (port < 0 || port > 65535)) {
             abort();
         }
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -120,8 +120,4 @@
 int Hs_ReplyJson(struct httpd *httpd, conn_id conn, int status,
                  const char *json);
 
-/** Split "ip:port" into a host of less than `size` bytes and a port from 1 to
- * 65535. Returns -1 when `addr` has another form. */
-int Hs_SplitAddr(const char *addr, char *host, size_t size, int *port);
-
 #endif
--- a/shell/include/shell/registry.h
+++ b/shell/include/shell/registry.h
@@ -79,4 +79,8 @@
 int Reg_ReadMember(struct ent_member *member, const char *key,
                    const json_t *value, uint64_t version);
 
+/** Read the capacity of the upstream that an agent saved in its row. Returns
+ * -1 when it is missing or out of range. */
+int Reg_ReadCapacity(struct resources *capacity, const json_t *saved);
+
 #endif
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/log.h"
 #include "shell/httpd.h"
 
@@ -319,7 +320,7 @@
     char host[64];
     int port;
     struct hc_conn *conn = find_idle_conn(httpc, call->tls);
-    if (!conn || Hs_SplitAddr(call->addr, host, sizeof(host), &port) ||
+    if (!conn || Addr_Split(call->addr, host, sizeof(host), &port) ||
         set_call(conn, call)) {
         return -1;
     }
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/log.h"
 
 #define MAX_CONNS 20000
@@ -46,24 +47,6 @@
     tab_handle conn;
 };
 
-int
-Hs_SplitAddr(const char *addr, char *host, size_t size, int *port)
-{
-    const char *colon = strrchr(addr, ':');
-    if (!colon || (size_t)(colon - addr) >= size) {
-        return -1;
-    }
-    char *end;
-    long number = strtol(colon + 1, &end, 10);
-    if (end == colon + 1 || *end || number < 1 || number > 65535) {
-        return -1;
-    }
-    memcpy(host, addr, (size_t)(colon - addr));
-    host[colon - addr] = '\0';
-    *port = (int)number;
-    return 0;
-}
-
 int
 Hs_OwnsConn(const struct httpd *httpd, conn_id id)
 {
@@ -417,7 +400,7 @@
     httpd->context = context;
     httpd->counters = counters;
     httpd->max_body = HS_MAX_BODY;
-    if (Hs_SplitAddr(addr, httpd->listen, sizeof(httpd->listen), &port)) {
+    if (Addr_Split(addr, httpd->listen, sizeof(httpd->listen), &port)) {
         return Err_Set(err, CODE_BAD_SETTING,
                        "listen address: found \"%s\", allowed is ip:port",
                        addr);
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/json.h"
 #include "base/log.h"
 
@@ -20,24 +21,40 @@
     registry->context = context;
 }
 
+static int
+is_amount(json_int_t number)
+{
+    return number >= 0 && number <= MAX_RESOURCE;
+}
+
+int
+Reg_ReadCapacity(struct resources *capacity, const json_t *saved)
+{
+    json_int_t cpu = 0;
+    json_int_t memory_mb = 0;
+    json_int_t gpu = 0;
+    if (!saved ||
+        json_unpack((json_t *)saved, "{s:I,s:I,s:I}", "cpu", &cpu, "memory_mb",
+                    &memory_mb, "gpu", &gpu) ||
+        !is_amount(cpu) || !is_amount(memory_mb) || !is_amount(gpu)) {
+        return -1;
+    }
+    *capacity =
+        (struct resources){(uint32_t)cpu, (uint32_t)memory_mb, (uint32_t)gpu};
+    return 0;
+}
+
 /* Reads the upstream that an agent saved in its row; leaves `service` empty if
  * there is none. */
 static void
 read_saved_upstream(struct ent_member *member, const json_t *saved)
 {
-    json_int_t cpu = 0;
-    json_int_t memory_mb = 0;
-    json_int_t gpu = 0;
     size_t i;
     const json_t *label;
-    if (!saved || json_unpack((json_t *)saved, "{s:I,s:I,s:I}", "cpu", &cpu,
-                              "memory_mb", &memory_mb, "gpu", &gpu)) {
+    if (Reg_ReadCapacity(&member->capacity, saved)) {
         return;
     }
     Js_CopyText(member->service, sizeof(member->service), saved, "service");
-    member->capacity.cpu = (uint32_t)cpu;
-    member->capacity.memory_mb = (uint32_t)memory_mb;
-    member->capacity.gpu = (uint32_t)gpu;
     json_array_foreach(json_object_get(saved, "labels"), i, label)
     {
         Labels_Add(&member->labels, json_string_value(label));
@@ -50,10 +67,13 @@
 {
     char role[WIRE_NAME_SIZE];
     char incarnation[24];
+    char host[WIRE_ADDR_SIZE];
+    int port;
     memset(member, 0, sizeof(*member));
     if (strncmp(key, REG_PREFIX, strlen(REG_PREFIX)) != 0 ||
         Js_CopyText(member->node, sizeof(member->node), value, "node") ||
         Js_CopyText(member->addr, sizeof(member->addr), value, "address") ||
+        Addr_Split(member->addr, host, sizeof(host), &port) ||
         Js_CopyText(member->dc, sizeof(member->dc), value, "data_centre") ||
         Js_CopyText(role, sizeof(role), value, "role") ||
         Js_CopyText(incarnation, sizeof(incarnation), value, "incarnation")) {
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/json.h"
 #include "base/log.h"
 #include "shell/httpd.h"
@@ -147,7 +148,7 @@
     size_t size = strlen(text);
     if (spec->kind == KIND_ADDR) {
         if (size >= WIRE_ADDR_SIZE ||
-            Hs_SplitAddr(text, host, sizeof(host), &port)) {
+            Addr_Split(text, host, sizeof(host), &port)) {
             return Err_Set(err, CODE_BAD_SETTING,
                            "$.%s: found \"%.60s\", allowed is ip:port",
                            spec->name, text);
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -27,6 +27,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/addr.h"
 #include "base/log.h"
 #include "shell/httpd.h"
 
@@ -344,7 +345,7 @@
     int port;
     memset(addr, 0, sizeof(*addr));
     addr->sin_family = AF_INET;
-    if (Hs_SplitAddr(text, host, sizeof(host), &port)) {
+    if (Addr_Split(text, host, sizeof(host), &port)) {
         return -1;
     }
     addr->sin_port = htons((uint16_t)port);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -14,6 +14,7 @@
 
 #include <cmocka.h>
 
+#include "base/addr.h"
 #include "shell/httpd.h"
 
 #define PORT 20700
@@ -138,7 +139,7 @@
     int on = 1;
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     assert_true(fd >= 0);
-    assert_int_equal(Hs_SplitAddr(listen_addr, host, sizeof(host), &port), 0);
+    assert_int_equal(Addr_Split(listen_addr, host, sizeof(host), &port), 0);
     assert_int_equal(inet_pton(AF_INET, host, &addr.sin_addr), 1);
     addr.sin_port = htons((uint16_t)port);
     assert_int_equal(setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)),
--- a/tests/test_httpd_tls.c
+++ b/tests/test_httpd_tls.c
@@ -15,6 +15,7 @@
 #include <openssl/pem.h>
 #include <openssl/ssl.h>
 
+#include "base/addr.h"
 #include "shell/httpd.h"
 
 #define PORT 20760
@@ -162,7 +163,7 @@
     int port;
     client->fd = socket(AF_INET, SOCK_STREAM, 0);
     assert_true(client->fd >= 0);
-    assert_int_equal(Hs_SplitAddr(listen_addr, host, sizeof(host), &port), 0);
+    assert_int_equal(Addr_Split(listen_addr, host, sizeof(host), &port), 0);
     assert_int_equal(inet_pton(AF_INET, host, &addr.sin_addr), 1);
     addr.sin_port = htons((uint16_t)port);
     assert_int_equal(
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -38,6 +38,10 @@
     uint32_t size;
 };
 
+/** Largest amount of a resource, half the range, so that the sum of two does
+ * not overflow. */
+#define MAX_RESOURCE (UINT32_MAX / 2)
+
 /** Resources of a worker other than task slots. */
 struct resources {
     uint32_t cpu; /**< In thousandths of a core. */
