runner: a refused fence is raised until the upstream accepts it

The change of restarts took the start time of an instance plus its clock as the fence, and kept it at least as high as that of the earlier instance.

The fence is the clock again. It is kept above the earlier one only if an order for the earlier instance may have reached the new one. An agent whose latest fence is refused raises it by doubled steps, at most 23 polls for two hours.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -193,6 +193,7 @@
     uint32_t estimate_ms;     /**< Estimated run time, 0 if not known. */
     uint64_t ordered_us;      /**< When the start was first ordered. */
     uint64_t renewed_us;      /**< When its lease was last renewed. */
+    uint64_t sent_fence;      /**< That of its latest order. */
     uint64_t sent_clock_ms;   /**< The upstream's clock as it was known when
                                    the start was last ordered. */
     uint64_t due_us;          /**< RN_STOPPING: when the stop is ordered again.
@@ -238,6 +239,8 @@
     uint64_t clock_us;        /**< This process's clock at that time. */
     uint64_t fence;           /**< Sent with orders; the upstream rejects those
                                    with a lower fence than it has seen. */
+    uint64_t fence_step;      /**< By which it was raised last, 0 once a poll
+                                   under it is answered. */
     uint64_t first_fence;     /**< The first fence chosen at this instance, or
                                    after it was unreachable. */
     uint64_t last_ended;      /**< Highest `rn_ended.seq` read. */
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -73,6 +73,7 @@
     act.run = Tab_Handle(&runner->runs, run);
     act.id = run->id;
     act.fence = runner->fence;
+    run->sent_fence = runner->fence;
     act.lease_end_ms = Rni_GrantLease(runner, now);
     act.leased_until_us = runner->leased_until_us;
     act.input = run->input;
@@ -92,6 +93,7 @@
     act.run = Tab_Handle(&runner->runs, run);
     act.id = run->id;
     act.fence = runner->fence;
+    run->sent_fence = runner->fence;
     run->order_pending = 1;
     run->tries++;
     run->due_us =
@@ -235,7 +237,7 @@
         }
         break;
     case RN_FENCED:
-        Rni_RaiseFence(runner);
+        Rni_OnFenced(runner, run->sent_fence);
         if (is_wanted && retry_start(runner, now, run) == 0) {
             return;
         }
@@ -356,6 +358,6 @@
     }
     CTR_INC(runner->counters, stops_unanswered);
     if (reply == RN_FENCED) {
-        Rni_RaiseFence(runner);
+        Rni_OnFenced(runner, run->sent_fence);
     }
 }
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -267,15 +267,17 @@
     Rni_SetClock(runner, now, view->clock_ms);
     if (runner->phase == RN_READING_CLOCK) {
         if (runner->clock_ms) {
+            runner->fence_step = 0;
             Rni_RaiseFence(runner);
             runner->first_fence = runner->fence;
             runner->phase = RN_LISTING;
         }
     }
     else if (reply == RN_FENCED) {
-        Rni_RaiseFence(runner);
+        Rni_OnFenced(runner, fence);
     }
     else {
+        runner->fence_step = 0;
         Rni_ApplyView(runner, now, sent_us, view);
         if (runner->phase == RN_LISTING) {
             on_listing(runner, now, fence, view);
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -162,6 +162,9 @@
     if (runner->granted_us) {
         mark_leases_unknown(runner, runner->granted_us);
     }
+    if (act.unsettled_count == 0) {
+        runner->fence = 0;
+    }
     runner->phase = RN_READING_CLOCK;
     runner->born_ms = born_ms;
     runner->last_ended = 0;
@@ -177,11 +180,25 @@
     }
 }
 
+/* The clock increases over the life of an instance, so no earlier agent has
+ * derived a higher fence from it. A fence of an earlier instance may be
+ * higher, and may have reached this one. */
 void
 Rni_RaiseFence(struct runner *runner)
 {
-    uint64_t fence = runner->born_ms + runner->clock_ms;
-    runner->fence = fence > runner->fence ? fence : runner->fence + 1;
+    runner->fence_step = runner->fence_step ? 2 * runner->fence_step : 1;
+    runner->fence += runner->fence_step;
+    if (runner->clock_ms > runner->fence) {
+        runner->fence = runner->clock_ms;
+    }
+}
+
+void
+Rni_OnFenced(struct runner *runner, uint64_t fence)
+{
+    if (fence == runner->fence) {
+        Rni_RaiseFence(runner);
+    }
 }
 
 void
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -74,10 +74,14 @@
 /** True if a view lists a run as running. */
 int Rni_IsListed(const struct rn_view *view, const struct rn_id *id);
 
-/** Choose a fence that is higher than all that were used before, by any agent
- * and for any instance of the upstream. */
+/** Choose a higher fence, for a new instance or after the upstream has refused
+ * the last one. Each refusal doubles the step until a poll is
+ * answered. */
 void Rni_RaiseFence(struct runner *runner);
 
+/** Handle the refusal of an order or poll because of its fence. */
+void Rni_OnFenced(struct runner *runner, uint64_t fence);
+
 /** Emit RN_CRASH for an instance that has ended, if tasks had runs there. */
 void Rni_ReportCrash(struct runner *runner, struct now now);
 
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -353,20 +353,10 @@
     assert_int_equal(ends, 0);
 }
 
-/* A new agent, which knows nothing of the one before, would be refused until
- * the clock has passed the fence of the earlier instance. */
 static void
-a_restarted_agent_can_use_a_new_instance_at_once(void **state)
+restart_agent(void)
 {
     struct rn_sink sink = {emit, run_limit, NULL};
-    (void)state;
-    born_ms = 1700000000000;
-    announce();
-    start_task(1, 1, 0);
-    run_for(100);
-    restart_upstream(100);
-    start_task(2, 1, 0);
-    run_for(300);
     Rn_Finish(&runner);
     assert_int_equal(Rn_Init(&runner, LEASE_MS * US_PER_MS,
                              MAX_LEASE_MS * US_PER_MS, STOP_MS * US_PER_MS,
@@ -374,13 +364,41 @@
                      0);
     memset(orders, 0, sizeof(orders));
     ready = 0;
-    announce();
-    assert_true(ready);
-    ends = 0;
-    start_task(3, 1, 0);
-    run_for(100);
-    assert_int_equal(last_code, CODE_OK);
-    assert_int_equal(ends, 1);
+}
+
+/* A new agent knows nothing of the one before, and takes its fence from a
+ * clock that is behind that of the earlier instance. It would be refused until
+ * the clock has caught up. */
+static void
+a_restarted_agent_can_use_a_new_instance_at_once(void **state)
+{
+    static const uint64_t clocks_ms[] = {100, 500000, 8000000};
+    (void)state;
+    for (uint32_t i = 0; i < 3; i++) {
+        for (int is_noticed = 0; is_noticed < 2; is_noticed++) {
+            set_up(NULL);
+            clock_offset_ms = 7000000;
+            announce();
+            start_task(1, 1, 0);
+            run_for(200);
+            restart_upstream(clocks_ms[i]);
+            if (is_noticed) {
+                announce();
+            }
+            start_task(2, 1, 0);
+            run_for(300);
+            restart_agent();
+            announce();
+            assert_true(ready);
+            ends = 0;
+            start_task(3, 1, 0);
+            run_for(100);
+            assert_int_equal(last_code, CODE_OK);
+            assert_int_equal(ends, 1);
+            tear_down(NULL);
+        }
+    }
+    set_up(NULL);
 }
 
 static void
