tests: upstreams of the simulated network restart, and orders are lost

They now keep fences, the numbers of ended runs and their longest lease, restart with a clock that begins anywhere, leave orders unanswered, and carry some out 2 to 12 s later.

--- a/tests/net.h
+++ b/tests/net.h
@@ -170,7 +170,7 @@
         }
         int is_announcing = net->now.us / 1000 % 500 == 0 &&
                             net->now.us >= node->away_until_us;
-        if (is_announcing) {
+        if (is_announcing && !node->is_gone) {
             Ag_OnAnnounce(&node->agent, net->now, &announce);
         }
         Ag_OnTick(&node->agent, net->now);
--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -24,7 +24,9 @@
 #define NET_MAX_REPLIES 256
 #define NET_MAX_RUNNING 256
 #define NET_MAX_ORDERS 64
-/** Start time of all upstreams, milliseconds since 1970. */
+/** Latest ended or stopped runs that an upstream remembers. */
+#define NET_MAX_ENDED 512
+/** Start time of the first instances of upstreams, milliseconds since 1970. */
 #define NET_BORN_MS 7000
 /** Time from the start of a deadly task to the crash, and the time for which
  * an upstream is away after it. */
@@ -37,13 +39,20 @@
 /** What a filter does with a message. */
 enum net_verdict { NET_PASS, NET_DROP, NET_DELAY };
 
-/** An order to an upstream that has been carried out, and its reply. */
+/** What becomes of an order to an upstream. */
+enum net_fate {
+    NET_ANSWERED,
+    NET_UNANSWERED, /**< It is carried out, and its reply is lost. */
+    NET_LATE        /**< It gets no reply, and is carried out seconds later. */
+};
+
+/** An order to an upstream, and its reply. */
 struct net_order {
-    enum rn_act_type type;
-    tab_handle run;
-    uint32_t poll;
+    struct rn_act act;
+    tab_handle task; /**< RN_START. */
     enum rn_reply reply;
-    uint64_t due_us; /**< The reply is delivered after this. */
+    uint64_t due_us;     /**< The reply is delivered after this. */
+    uint64_t execute_us; /**< When it is carried out late, 0 for never. */
 };
 
 /** An entry, or an agent with its upstream. */
@@ -69,8 +78,16 @@
     struct runner runner;
     uint64_t lease_end_ms; /**< Of all its runs, on the upstream's clock. */
     uint64_t last_end;     /**< Number of the latest end listed. */
+    int is_gone;           /**< Its runner takes its upstream for unusable. */
+    uint64_t born_ms;      /**< Start time of its upstream's instance. */
+    uint64_t clock_ms;     /**< Added to its upstream's clock. */
+    uint64_t fence;        /**< Highest one that its upstream has seen. */
+    struct rn_id ended[NET_MAX_ENDED];
+    uint32_t ended_count;
     struct net_order orders[NET_MAX_ORDERS];
     uint32_t order_count;
+    struct net_order late[NET_MAX_ORDERS]; /**< Orders with `execute_us`. */
+    uint32_t late_count;
 };
 
 /** A frame that has been sent and not yet delivered. */
@@ -136,6 +153,9 @@
                                const struct net_node *to,
                                const struct msg *msg);
     int filter_arg; /**< For use by `filter`. */
+    /** Decides about each start and stop order; NULL answers all. */
+    enum net_fate (*fate)(struct net *net);
+    uint32_t late_order_ms; /**< Time until a late order is carried out. */
     /** Tells which tasks crash the upstream NET_CRASH_MS after their start;
      * NULL for none. */
     int (*is_deadly)(const struct msg_start *start);
@@ -329,6 +349,7 @@
     node->role = role;
     node->up = 1;
     node->run_ms = 50;
+    node->born_ms = NET_BORN_MS;
     /* If the name ends in '-', later nodes get lower incarnations. */
     node->header.from = 1000 + (uint64_t)net->count;
     if (name[strlen(name) - 1] == '-') {
--- a/tests/net_upstream.h
+++ b/tests/net_upstream.h
@@ -13,26 +13,32 @@
 #define NET_CLOCK_LAG_PERCENT 2
 #define NET_MAX_STOP_US (50 * US_PER_MS)
 
+/* Longest lease that an upstream allows. */
+#define NET_MAX_LEASE_MS 1000
+/* Time until an agent is told that an order has got no reply. */
+#define NET_TIMEOUT_US (30 * US_PER_MS)
+
 static uint64_t
 net_upstream_clock_ms(const struct net_node *node)
 {
     uint64_t us = node->net->now.us;
     int is_slow = (node - node->net->nodes) % 2;
     return us * (is_slow ? 100 - NET_CLOCK_LAG_PERCENT : 100) / 100 /
-           US_PER_MS;
+               US_PER_MS +
+           node->clock_ms;
 }
 
-static void
+static struct net_order *
 net_add_order(struct net_node *node, const struct rn_act *act,
               enum rn_reply reply)
 {
     assert_true(node->order_count < NET_MAX_ORDERS);
     struct net_order *order = &node->orders[node->order_count++];
-    order->type = act->type;
-    order->run = act->run;
-    order->poll = act->poll;
+    memset(order, 0, sizeof(*order));
+    order->act = *act;
     order->reply = reply;
     order->due_us = node->net->now.us + act->wait_ms * US_PER_MS;
+    return order;
 }
 
 static struct net_run *
@@ -47,52 +53,164 @@
     return NULL;
 }
 
+static void
+net_invalidate(struct net_node *node, const struct rn_id *id)
+{
+    node->ended[node->ended_count++ % NET_MAX_ENDED] = *id;
+}
+
+/* True if a run of the task with this number, or a higher one, has ended or
+ * was stopped. */
+static int
+net_is_old(const struct net_node *node, const struct rn_id *id)
+{
+    for (uint32_t i = 0; i < node->ended_count && i < NET_MAX_ENDED; i++) {
+        const struct rn_id *other = &node->ended[i];
+        if (other->job == id->job && other->task == id->task &&
+            id->number <= other->number) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 static enum rn_reply
-net_start_run(struct net_node *node, const struct rn_act *act)
+net_start_run(struct net_node *node, const struct rn_act *act, tab_handle task)
 {
-    const struct rn_run *ordered = Tab_Get(&node->runner.runs, act->run);
+    struct net_run *run = net_find_run(node, &act->id);
     if (net_upstream_clock_ms(node) >= node->lease_end_ms) {
         return RN_LATE;
     }
-    struct net_run *run = net_find_run(node, &act->id);
+    if (!run && net_is_old(node, &act->id)) {
+        return RN_OLD_NUMBER;
+    }
     if (!run) {
-        run = net_add_run(node, ordered->task, act->id.job, act->id.task);
+        run = net_add_run(node, task, act->id.job, act->id.task);
         run->id = act->id;
     }
     return RN_DONE;
 }
 
+static void
+net_extend_lease(struct net_node *node, const struct rn_act *act)
+{
+    uint64_t max_ms = net_upstream_clock_ms(node) + NET_MAX_LEASE_MS;
+    uint64_t end_ms = act->lease_end_ms < max_ms ? act->lease_end_ms : max_ms;
+    if (end_ms > node->lease_end_ms) {
+        node->lease_end_ms = end_ms;
+    }
+}
+
+/* Carry out an order at the upstream. */
+static enum rn_reply
+net_execute(struct net_node *node, const struct rn_act *act, tab_handle task)
+{
+    if (act->fence < node->fence) {
+        return RN_FENCED;
+    }
+    node->fence = act->fence;
+    net_extend_lease(node, act);
+    if (act->type == RN_START) {
+        return net_start_run(node, act, task);
+    }
+    if (act->type == RN_STOP) {
+        struct net_run *run = net_find_run(node, &act->id);
+        if (run) {
+            run->stopped = 1;
+        }
+        net_invalidate(node, &act->id);
+    }
+    return RN_DONE;
+}
+
+static void
+net_send_order(struct net_node *node, const struct rn_act *act)
+{
+    struct net *net = node->net;
+    const struct rn_run *ordered = Tab_Get(&node->runner.runs, act->run);
+    tab_handle task = ordered ? ordered->task : 0;
+    enum net_fate fate =
+        net->fate && act->type != RN_POLL ? net->fate(net) : NET_ANSWERED;
+    if (fate == NET_LATE && node->late_count < NET_MAX_ORDERS) {
+        struct net_order *late = &node->late[node->late_count++];
+        late->act = *act;
+        late->task = task;
+        late->execute_us = net->now.us + net->late_order_ms * US_PER_MS;
+    }
+    if (fate == NET_LATE) {
+        net_add_order(node, act, RN_NO_ANSWER)->due_us += NET_TIMEOUT_US;
+        return;
+    }
+    enum rn_reply reply = net_execute(node, act, task);
+    if (fate == NET_UNANSWERED) {
+        net_add_order(node, act, RN_NO_ANSWER)->due_us += NET_TIMEOUT_US;
+        return;
+    }
+    net_add_order(node, act, reply);
+}
+
+static void
+net_execute_late(struct net_node *node)
+{
+    for (uint32_t i = 0; i < node->late_count;) {
+        struct net_order late = node->late[i];
+        if (late.execute_us > node->net->now.us) {
+            i++;
+            continue;
+        }
+        node->late[i] = node->late[--node->late_count];
+        net_execute(node, &late.act, late.task);
+    }
+}
+
+/** The upstream crashes and starts again under its identifier, with this
+ * clock. Its agent is not told, and its open polls get no answer. */
+NET_UNUSED static void
+Net_RestartUpstream(struct net_node *node, uint64_t clock_ms)
+{
+    struct net *net = node->net;
+    for (int i = 0; i < NET_MAX_RUNNING; i++) {
+        if (net->runs[i].node == node) {
+            net->runs[i].node = NULL;
+        }
+    }
+    for (uint32_t i = 0; i < node->order_count; i++) {
+        if (node->orders[i].act.type == RN_POLL) {
+            node->orders[i].reply = RN_NO_ANSWER;
+            node->orders[i].due_us = net->now.us;
+        }
+    }
+    node->born_ms = NET_BORN_MS + net->now.us / US_PER_MS;
+    node->clock_ms = 0;
+    node->clock_ms = clock_ms - net_upstream_clock_ms(node);
+    node->fence = node->lease_end_ms = node->last_end = 0;
+    node->ended_count = node->late_count = 0;
+}
+
 static void
 net_on_order(void *context, const struct rn_act *act)
 {
     struct net_node *node = context;
-    struct net_run *run;
-    if (act->lease_end_ms > node->lease_end_ms) {
-        node->lease_end_ms = act->lease_end_ms;
-    }
     if (act->type == RN_START || act->type == RN_POLL) {
         Ag_OnLease(&node->agent, act->leased_until_us);
     }
     switch (act->type) {
     case RN_START:
-        net_add_order(node, act, net_start_run(node, act));
-        break;
     case RN_STOP:
-        run = net_find_run(node, &act->id);
-        if (run) {
-            run->stopped = 1;
-        }
-        net_add_order(node, act, RN_DONE);
-        break;
     case RN_POLL:
-        net_add_order(node, act, RN_DONE);
+        net_send_order(node, act);
         break;
     case RN_END:
         Ag_OnTaskEnd(&node->agent, node->net->now, act->task, act->code,
                      (struct bytes){NULL, 0}, act->run_us);
         break;
     case RN_READY:
+        node->is_gone = 0;
+        break;
     case RN_GONE:
+        node->is_gone = 1;
+        Ag_OnUpstreamGone(&node->agent, node->net->now);
+        break;
     case RN_CRASH:
     case RN_RESTART:
         break;
@@ -119,14 +237,14 @@
 /* Answer a poll. `ended` is the only end that is listed, or NULL; runs whose
  * end is listed later are listed as running until then. */
 static void
-net_answer_poll(struct net_node *node, uint32_t poll,
+net_answer_poll(struct net_node *node, uint32_t poll, enum rn_reply reply,
                 const struct net_run *ended)
 {
     static struct rn_view view;
     struct net *net = node->net;
     memset(&view, 0, sizeof(view));
     view.clock_ms = net_upstream_clock_ms(node);
-    view.born_ms = NET_BORN_MS;
+    view.born_ms = node->born_ms;
     for (int i = 0; i < NET_MAX_RUNNING; i++) {
         const struct net_run *run = &net->runs[i];
         if (run->node == node && run != ended) {
@@ -139,7 +257,7 @@
         view.ended[view.ended_count++] =
             (struct rn_ended){++node->last_end, ended->id, ended->outcome};
     }
-    Rn_OnPoll(&node->runner, net->now, poll, RN_DONE, &view);
+    Rn_OnPoll(&node->runner, net->now, poll, reply, &view);
 }
 
 static void
@@ -164,16 +282,17 @@
             continue;
         }
         net_take_order(node, i, &order);
-        if (order.type == RN_START) {
-            Rn_OnStarted(&node->runner, net->now, order.run, order.reply,
-                         clock_ms);
+        uint64_t read_ms = order.reply == RN_NO_ANSWER ? 0 : clock_ms;
+        if (order.act.type == RN_START) {
+            Rn_OnStarted(&node->runner, net->now, order.act.run, order.reply,
+                         read_ms);
         }
-        else if (order.type == RN_STOP) {
-            Rn_OnStopped(&node->runner, net->now, order.run, order.reply,
-                         clock_ms);
+        else if (order.act.type == RN_STOP) {
+            Rn_OnStopped(&node->runner, net->now, order.act.run, order.reply,
+                         read_ms);
         }
         else {
-            net_answer_poll(node, order.poll, NULL);
+            net_answer_poll(node, order.act.poll, order.reply, NULL);
         }
     }
 }
@@ -203,12 +322,13 @@
 {
     struct net_node *node = run->node;
     for (uint32_t i = 0; i < node->order_count; i++) {
-        if (node->orders[i].type == RN_POLL) {
+        if (node->orders[i].act.type == RN_POLL &&
+            node->orders[i].reply == RN_DONE) {
             struct net_order order;
             struct net_run ended = *run;
             net_take_order(node, i, &order);
             run->node = NULL;
-            net_answer_poll(node, order.poll, &ended);
+            net_answer_poll(node, order.act.poll, RN_DONE, &ended);
             return;
         }
     }
@@ -219,6 +339,7 @@
 net_step_upstreams(struct net *net)
 {
     for (int i = 0; i < net->count; i++) {
+        net_execute_late(&net->nodes[i]);
         if (net->nodes[i].up && !net->nodes[i].paused) {
             net_reply(&net->nodes[i]);
         }
@@ -227,6 +348,9 @@
         struct net_run *run = &net->runs[i];
         if (run->node && !run->is_over) {
             net_check_end(net, run);
+            if (run->is_over) {
+                net_invalidate(run->node, &run->id);
+            }
         }
         if (run->node && run->is_over && !run->node->paused) {
             net_list_end(run);
@@ -240,7 +364,7 @@
 {
     struct net *net = node->net;
     if (is_announcing) {
-        Rn_OnAnnounce(&node->runner, net->now, NET_BORN_MS,
+        Rn_OnAnnounce(&node->runner, net->now, node->born_ms,
                       net_upstream_clock_ms(node));
     }
     Rn_OnTick(&node->runner, net->now);
--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -28,6 +28,8 @@
 struct day {
     uint64_t seed;
     uint32_t agent_pause_ms; /* Longest pause of an agent. */
+    int has_upstream_faults; /* Upstreams restart, orders get no reply or are
+                                carried out late. */
 };
 
 /* A caller with one job. */
@@ -49,6 +51,9 @@
 static const struct net_node *cut_agent;
 static uint32_t loss_percent;
 static uint32_t agent_pause_ms;
+static int has_upstream_faults;
+static uint32_t unanswered_percent; /* Of the orders to upstreams. */
+static uint32_t late_percent;
 
 static uint32_t
 draw(uint32_t bound)
@@ -68,9 +73,22 @@
     return is_cut || draw(100) < loss_percent ? NET_DROP : NET_PASS;
 }
 
+static enum net_fate
+draw_fate(struct net *n)
+{
+    uint32_t drawn = draw(100);
+    if (drawn < late_percent) {
+        n->late_order_ms = 2000 + draw(10000);
+        return NET_LATE;
+    }
+    return drawn < late_percent + unanswered_percent ? NET_UNANSWERED
+                                                     : NET_ANSWERED;
+}
+
 static void
 start_fleet(uint64_t seed)
 {
+    unanswered_percent = late_percent = 0;
     memset(jobs, 0, sizeof(jobs));
     memset(paused_until_us, 0, sizeof(paused_until_us));
     cut_entry = cut_agent = NULL;
@@ -183,9 +201,33 @@
     entries[i] = Net_AddEntry(&net, name);
 }
 
+/* The upstream's new clock begins anywhere. */
+static void
+restart_upstream(void)
+{
+    struct net_node *agent = agents[draw(AGENTS)];
+    uint64_t clock_ms = 1 + draw(3000000);
+    Net_RestartUpstream(agent, clock_ms);
+}
+
+static void
+inject_upstream_fault(void)
+{
+    if (draw(2)) {
+        restart_upstream();
+        return;
+    }
+    unanswered_percent = draw(30);
+    late_percent = draw(10);
+}
+
 static void
 inject_fault(void)
 {
+    if (has_upstream_faults && draw(2)) {
+        inject_upstream_fault();
+        return;
+    }
     switch (draw(5)) {
     case 0:
         pause_one(entries, ENTRIES, 200, 3000);
@@ -233,11 +275,13 @@
 {
     uint64_t seed = day->seed;
     agent_pause_ms = day->agent_pause_ms;
+    has_upstream_faults = day->has_upstream_faults;
     start_fleet(seed);
     for (int i = 0; i < AGENTS; i++) {
         agents[i]->run_ms = 100 + (int)draw(2400);
     }
     net.filter = lose_some;
+    net.fate = has_upstream_faults ? draw_fate : NULL;
     for (uint32_t ms = 0; ms < FAULTS_MS; ms++) {
         if (ms % JOB_INTERVAL_MS == 0) {
             uint32_t i = ms / JOB_INTERVAL_MS;
@@ -249,7 +293,7 @@
         }
         step_ms(seed);
     }
-    loss_percent = 0;
+    loss_percent = unanswered_percent = late_percent = 0;
     cut_entry = cut_agent = NULL;
     for (uint32_t ms = 0; ms < 30000; ms++) {
         step_ms(seed);
@@ -290,10 +334,21 @@
     run_day(*state);
 }
 
+static void
+no_task_runs_twice_while_upstreams_restart(void **state)
+{
+    run_day(*state);
+}
+
 /* Each day is a test of its own, so that a run names all that fail. */
 static struct CMUnitTest
 make_test(struct day *day)
 {
+    struct CMUnitTest restarts = cmocka_unit_test_prestate_setup_teardown(
+        no_task_runs_twice_while_upstreams_restart, NULL, finish, day);
+    if (day->has_upstream_faults) {
+        return restarts;
+    }
     struct CMUnitTest short_pauses = cmocka_unit_test_prestate_setup_teardown(
         no_task_runs_twice_at_a_time, NULL, finish, day);
     struct CMUnitTest long_pauses = cmocka_unit_test_prestate_setup_teardown(
@@ -304,17 +359,18 @@
 /* Add the seeds 1 to `seeds`. Returns the number of days. */
 static uint32_t
 add_days(struct day *days, uint32_t count, uint64_t seeds,
-         uint32_t longest_pause_ms)
+         uint32_t longest_pause_ms, int with_upstream_faults)
 {
     for (uint64_t seed = 1; seed <= seeds && count < MAX_TESTS; seed++) {
-        days[count++] = (struct day){seed, longest_pause_ms};
+        days[count++] =
+            (struct day){seed, longest_pause_ms, with_upstream_faults};
     }
     return count;
 }
 
 /* SUBSET_RECORDED recorded days are played first, then the seeds 1 to
- * SUBSET_SEEDS with short pauses, then those with long ones. Unused entries of
- * `tests` are skipped. */
+ * SUBSET_SEEDS with short pauses, with long ones, and with faults of upstreams
+ * too. Unused entries of `tests` are skipped. */
 int
 main(void)
 {
@@ -324,10 +380,11 @@
     uint64_t recorded = count_from_environment("SUBSET_RECORDED", RECORDED);
     uint64_t others = count_from_environment("SUBSET_SEEDS", SEEDS);
     for (uint64_t i = 0; i < recorded && i < RECORDED; i++) {
-        days[count++] = (struct day){recorded_seeds[i], SHORT_PAUSE_MS};
+        days[count++] = (struct day){recorded_seeds[i], SHORT_PAUSE_MS, 0};
     }
-    count = add_days(days, count, others, SHORT_PAUSE_MS);
-    count = add_days(days, count, others, LONG_PAUSE_MS);
+    count = add_days(days, count, others, SHORT_PAUSE_MS, 0);
+    count = add_days(days, count, others, LONG_PAUSE_MS, 0);
+    count = add_days(days, count, others, LONG_PAUSE_MS, 1);
     for (uint32_t i = 0; i < count; i++) {
         tests[i] = make_test(&days[i]);
     }
