--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -6,6 +6,14 @@
  * an answer is carried out late. */
 #include "fake_upstream.h"
 
+/* Begins again with a new runner and upstream. */
+static void
+reset(void)
+{
+    tear_down(NULL);
+    set_up(NULL);
+}
+
 static void
 task_runs_to_completion(void **state)
 {
@@ -171,7 +179,7 @@
     (void)state;
     for (uint32_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
         struct rn_id id = {.job = 1, .number = 1};
-        set_up(NULL);
+        reset();
         run_ms = 5000;
         announce();
         run_for(300);
@@ -184,9 +192,7 @@
         run_for(500);
         assert_int_equal(ends, 1);
         assert_int_not_equal(Code_Run(last_code), CODE_NOT_RUN);
-        tear_down(NULL);
     }
-    set_up(NULL);
 }
 
 /* Its end is on the next page. */
@@ -242,7 +248,7 @@
     static const uint64_t clocks_ms[] = {100, 500000};
     (void)state;
     for (uint32_t i = 0; i < 2; i++) {
-        set_up(NULL);
+        reset();
         run_ms = 5000;
         announce();
         run_for(500);
@@ -256,9 +262,7 @@
         assert_int_equal(ends, 2);
         assert_int_equal(last_code, CODE_RUN_LOST);
         assert_true(ready);
-        tear_down(NULL);
     }
-    set_up(NULL);
 }
 
 /* Its order was sent at a time of the earlier instance's clock, and the reply
@@ -376,7 +380,7 @@
     (void)state;
     for (uint32_t i = 0; i < 3; i++) {
         for (int is_noticed = 0; is_noticed < 2; is_noticed++) {
-            set_up(NULL);
+            reset();
             clock_offset_ms = 7000000;
             announce();
             start_task(1, 1, 0);
@@ -395,10 +399,8 @@
             run_for(100);
             assert_int_equal(last_code, CODE_OK);
             assert_int_equal(ends, 1);
-            tear_down(NULL);
         }
     }
-    set_up(NULL);
 }
 
 static void
