runner: one refused connection does not end the runs of an upstream

Cause: an agent took one refused connection as the end of its upstream's process and reported all runs as over; their tasks were placed elsewhere at once. A connection that is being opened when those of the machine are reset fails in the same way. Upstreams that leave orders unanswered make an agent open connections all the time.

The ground in the log rules out silence, leases and late orders.

Change: a refusal counts only if a second connection is refused, begun after the first refusal was handled, and nothing was answered meanwhile. A poll is sent at once for it, also to an upstream that is not usable. The crash is dated by the first refusal.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -63,6 +63,7 @@
     X(runs_stalled, "runs stopped because they made no progress")             \
     X(runs_unknown, "runs found at an upstream but not started here")         \
     X(upstream_crashes, "crashes of the upstream")                            \
+    X(refusals_unconfirmed, "first refused connections to the upstream")      \
     X(runs_unsettled, "runs that either instance may have at a restart")      \
     X(runs_crashed, "runs that ended with a crash of the upstream")           \
     X(crashes_reported, "crashes of upstreams that agents have reported")     \
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -257,8 +257,11 @@
                                        answered. */
     uint64_t late_order_until_us; /**< Until then an order without an answer
                                        may still renew the leases. */
-    uint64_t connection_refused_us; /**< When a connection to the upstream was
-                                         last refused. */
+    uint64_t refused_us; /**< When a connection to the upstream was refused
+                              that nothing has confirmed or refuted since, 0
+                              if none was. */
+    uint64_t connection_refused_us; /**< When it was last known that no process
+                                         listens there. */
     uint64_t next_poll_us;
     uint64_t fast_poll_until_us; /**< Until then polls are more frequent, since
                                       answers are being lost. */
@@ -317,13 +320,16 @@
 void Rn_OnPoll(struct runner *runner, struct now now, uint32_t poll,
                enum rn_reply reply, const struct rn_view *view);
 
-/** Handle a refused connection to the instance started at `born_ms`: no
- * process listens at its address, so it has ended with all its runs. One that
- * is leaving may refuse connections while its last runs end; these last until
- * their leases expire. To be called after Rn_OnStarted(), Rn_OnStopped() or
- * Rn_OnPoll() of the same order. */
+/** Handle a refused connection to the instance started at `born_ms`, for an
+ * order that was sent at `sent_us`. If a second one is refused, sent after the
+ * first refusal, and nothing was answered meanwhile, no process listens at the
+ * address: the instance has ended with all its runs. One that is leaving may
+ * refuse connections while its last runs end; these last until their leases
+ * expire. To be called after Rn_OnStarted(), Rn_OnStopped() or Rn_OnPoll() of
+ * the same order. */
 void Rn_OnConnectionRefused(struct runner *runner, struct now now,
-                            uint64_t born_ms, int is_leaving);
+                            uint64_t born_ms, uint64_t sent_us,
+                            int is_leaving);
 
 /** Do what is due: repeat stop orders, end runs with expired leases, stop
  * stalled runs, poll. To be called every few tens of milliseconds. */
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -12,7 +12,7 @@
 crash_us(const struct runner *runner, struct now now)
 {
     if (runner->poll_failures == 0) {
-        return now.us;
+        return runner->refused_us ? runner->refused_us : now.us;
     }
     return runner->silent_from_us > runner->last_reply_us
                ? runner->silent_from_us
@@ -74,18 +74,34 @@
     }
 }
 
+/* Connections that are being opened fail as if they were refused when those of
+ * the machine are reset, so one failure proves nothing. Another attempt, begun
+ * after it was handled, does. */
+static int
+is_confirmed(struct runner *runner, struct now now, uint64_t sent_us)
+{
+    if (runner->refused_us == 0) {
+        CTR_INC(runner->counters, refusals_unconfirmed);
+        runner->refused_us = now.us;
+        runner->want_short_poll = 1;
+        return 0;
+    }
+    return sent_us > runner->refused_us;
+}
+
 void
 Rn_OnConnectionRefused(struct runner *runner, struct now now, uint64_t born_ms,
-                       int is_leaving)
+                       uint64_t sent_us, int is_leaving)
 {
-    if (born_ms != runner->born_ms) {
+    if (born_ms != runner->born_ms || !is_confirmed(runner, now, sent_us)) {
         return;
     }
     runner->connection_refused_us = now.us;
-    if (is_leaving) {
-        return;
+    runner->want_short_poll = 0;
+    if (!is_leaving) {
+        Rni_Disconnect(runner);
+        Rni_ReportCrash(runner, now);
+        end_crashed(runner, now);
     }
-    Rni_Disconnect(runner);
-    Rni_ReportCrash(runner, now);
-    end_crashed(runner, now);
+    runner->refused_us = 0;
 }
--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -16,15 +16,17 @@
  *   RN_RESTARTED  The instance that listed it has been replaced, or the new
  *                 one, which refuses the fences used until then, does not list
  *                 it. It may have begun.
- *   RN_CRASHED    No process listens at the address, and no start is on its
- *                 way. It may have begun.
+ *   RN_CRASHED    Two connections were refused, the second begun after the
+ *                 first had failed: no process listens at the address. No
+ *                 start is on its way. It may have begun.
  *   RN_LAPSED     Its lease has ended by the slowest clock, and no order can
  *                 renew it. It had begun.
  *
  * Nothing else ends a run: not a refusal after an order without an answer, not
- * the silence of the upstream, not its restart. An instance keeps refusing a
- * run that it has ended; the next one does so from the first poll under a new
- * fence. Before that a run with an order on its way has not ended. */
+ * the silence of the upstream, not its restart, not one refused connection. An
+ * instance keeps refusing a run that it has ended; the next one does so from
+ * the first poll under a new fence. Before that a run with an order on its way
+ * has not ended. */
 #include <stdlib.h>
 
 #include "runner_impl.h"
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -288,6 +288,7 @@
     run->start_pending = 0;
     Rni_SetClock(runner, now, clock_ms);
     if (reply != RN_NO_ANSWER && reply != RN_UNREACHED) {
+        runner->refused_us = 0;
         runner->last_reply_us = now.us;
         runner->unreached_orders = 0;
     }
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -57,7 +57,9 @@
 {
     int is_needed = runner->runs.used > 0 || (runner->phase != RN_UNKNOWN &&
                                               runner->phase != RN_USABLE);
-    if (runner->phase == RN_UNKNOWN || now.us < runner->next_poll_us) {
+    /* A refusal is confirmed or refuted even if the upstream is unusable. */
+    if ((runner->phase == RN_UNKNOWN && !runner->refused_us) ||
+        now.us < runner->next_poll_us) {
         return;
     }
     if (is_needed && !runner->long_poll.id) {
@@ -260,6 +262,7 @@
         return;
     }
     runner->poll_failures = 0;
+    runner->refused_us = 0;
     runner->last_reply_us = now.us;
     if (view->born_ms && view->born_ms != runner->born_ms) {
         Rni_OnRestart(runner, now, view->born_ms);
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -170,6 +170,7 @@
     runner->last_ended = 0;
     runner->clock_ms = 0;
     runner->poll_failures = 0;
+    runner->refused_us = 0;
     /* Ignore answers of the earlier instance to pending polls. */
     runner->long_poll.id = 0;
     runner->short_poll.id = 0;
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -119,7 +119,7 @@
     }
     if (http->refused) {
         Rn_OnConnectionRefused(&call->orders->runner, Loop_Now(),
-                               call->born_ms,
+                               call->born_ms, call->sent_us,
                                call->orders->heartbeat.announcement.leaving);
     }
     free(call);
