--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -180,7 +180,7 @@
     enum rn_state state;
     uint8_t order_pending;    /**< An order is waiting for its reply. */
     uint8_t start_pending;    /**< It is a start. */
-    uint8_t was_running;      /**< The run is known to have begun. */
+    uint8_t was_running;      /**< The run has begun, or is taken to have. */
     uint8_t start_unanswered; /**< A start order got no answer. */
     uint8_t is_listed;        /**< The current instance has listed it. */
     uint8_t is_unsettled;     /**< The upstream has restarted, and either
@@ -260,8 +260,8 @@
     uint64_t refused_us; /**< When a connection to the upstream was refused
                               that nothing has confirmed or refuted since, 0
                               if none was. */
-    uint64_t connection_refused_us; /**< When it was last known that no process
-                                         listens there. */
+    uint64_t process_gone_us; /**< When it was last known that no process
+                                   listens at its address. */
     uint64_t next_poll_us;
     uint64_t fast_poll_until_us; /**< Until then polls are more frequent, since
                                       answers are being lost. */
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -96,7 +96,7 @@
     if (born_ms != runner->born_ms || !is_confirmed(runner, now, sent_us)) {
         return;
     }
-    runner->connection_refused_us = now.us;
+    runner->process_gone_us = now.us;
     runner->want_short_poll = 0;
     if (!is_leaving) {
         Rni_Disconnect(runner);
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -221,8 +221,8 @@
     }
 }
 
-/* The runs are known from a view once it was requested under the fence which
- * makes the upstream refuse all earlier orders. */
+/* The lists are complete, and stay true of earlier orders, if they were
+ * requested under the fence that makes the upstream refuse those. */
 static void
 on_listing(struct runner *runner, struct now now, uint64_t fence,
            const struct rn_view *view)
@@ -270,9 +270,7 @@
     Rni_SetClock(runner, now, view->clock_ms);
     if (runner->phase == RN_READING_CLOCK) {
         if (runner->clock_ms) {
-            runner->fence_step = 0;
-            Rni_RaiseFence(runner);
-            runner->first_fence = runner->fence;
+            Rni_TakeFence(runner);
             runner->phase = RN_LISTING;
         }
     }
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -1,5 +1,5 @@
-/* Initialisation, announcements and restarts of the upstream, leases, stalled
- * runs and periodic work. */
+/* Initialisation, announcements of the upstream, leases, stalled runs and
+ * periodic work. */
 #include "core/runner.h"
 
 #include <stdlib.h>
@@ -116,119 +116,6 @@
     runner->phase = RN_UNKNOWN;
 }
 
-/* Leases that the new instance may have taken from orders for the earlier one,
- * computed for another clock, last up to the longest that it allows. None has
- * arrived there if a connection was refused since. */
-static void
-mark_leases_unknown(struct runner *runner, uint64_t granted_us)
-{
-    uint64_t until_us = granted_us + runner->max_lease_us *
-                                         (100 + RNI_CLOCK_SLACK_PERCENT) / 100;
-    if (granted_us <= runner->connection_refused_us) {
-        return;
-    }
-    runner->unknown_lease_until_us = until_us;
-    if (until_us > runner->leased_until_us) {
-        runner->leased_until_us = until_us;
-    }
-}
-
-void
-Rni_OnRestart(struct runner *runner, struct now now, uint64_t born_ms)
-{
-    struct rn_act act = {.type = RN_RESTART};
-    uint32_t slot = 0;
-    struct rn_run *run;
-    act.earlier_born_ms = runner->born_ms;
-    Rni_Disconnect(runner);
-    Rni_ReportCrash(runner, now);
-    while ((run = Tab_Next(&runner->runs, &slot))) {
-        if (run->is_listed && !run->start_pending && !run->start_unanswered) {
-            Rni_End(runner, now, run, RN_RESTARTED, CODE_RUN_LOST);
-            continue;
-        }
-        act.unsettled_count++;
-        if (!run->is_unsettled) {
-            CTR_INC(runner->counters, runs_unsettled);
-        }
-        run->is_unsettled = 1;
-        run->is_listed = 0;
-        run->was_running = 1;
-        run->state = RN_STOPPING;
-        run->code = CODE_RUN_LOST;
-        run->due_us = UINT64_MAX;
-        run->sent_clock_ms = 0;
-    }
-    if (runner->granted_us) {
-        mark_leases_unknown(runner, runner->granted_us);
-    }
-    if (act.unsettled_count == 0) {
-        runner->fence = 0;
-    }
-    runner->phase = RN_READING_CLOCK;
-    runner->born_ms = born_ms;
-    runner->last_ended = 0;
-    runner->clock_ms = 0;
-    runner->poll_failures = 0;
-    runner->refused_us = 0;
-    /* Ignore answers of the earlier instance to pending polls. */
-    runner->long_poll.id = 0;
-    runner->short_poll.id = 0;
-    runner->want_short_poll = 0;
-    runner->next_poll_us = now.us;
-    if (act.earlier_born_ms) {
-        runner->sink.emit(runner->sink.context, &act);
-    }
-}
-
-/* The clock increases over the life of an instance, so no earlier agent has
- * derived a higher fence from it. A fence of an earlier instance may be
- * higher, and may have reached this one. */
-void
-Rni_RaiseFence(struct runner *runner)
-{
-    runner->fence_step = runner->fence_step ? 2 * runner->fence_step : 1;
-    runner->fence += runner->fence_step;
-    if (runner->clock_ms > runner->fence) {
-        runner->fence = runner->clock_ms;
-    }
-}
-
-void
-Rni_OnFenced(struct runner *runner, uint64_t fence)
-{
-    if (fence == runner->fence) {
-        Rni_RaiseFence(runner);
-    }
-}
-
-void
-Rni_Settle(struct runner *runner, struct now now, const struct rn_view *view)
-{
-    uint32_t slot = 0;
-    uint32_t count = 0;
-    struct rn_run *run;
-    while ((run = Tab_Next(&runner->runs, &slot))) {
-        if (!run->is_unsettled) {
-            continue;
-        }
-        count++;
-        run->is_unsettled = 0;
-        run->tries = 0;
-        run->due_us = now.us;
-        if (!Rni_IsListed(view, &run->id)) {
-            Rni_End(runner, now, run, RN_RESTARTED, CODE_RUN_LOST);
-        }
-        else if (!run->order_pending) {
-            Rni_OrderStop(runner, now, run);
-        }
-    }
-    if (count) {
-        mark_leases_unknown(runner, now.us);
-    }
-    runner->late_order_until_us = 0;
-}
-
 void
 Rn_OnAnnounce(struct runner *runner, struct now now, uint64_t born_ms,
               uint64_t clock_ms)
@@ -270,7 +157,7 @@
               const struct rn_run *run)
 {
     if (now.us < runner->late_order_until_us &&
-        runner->connection_refused_us <= run->renewed_us) {
+        runner->process_gone_us <= run->renewed_us) {
         return 0;
     }
     if (now.us < runner->unknown_lease_until_us + RNI_LEASE_SLACK_US) {
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -74,12 +74,13 @@
 /** True if a view lists a run as running. */
 int Rni_IsListed(const struct rn_view *view, const struct rn_id *id);
 
-/** Choose a higher fence, for a new instance or after the upstream has refused
- * the last one. Each refusal doubles the step until a poll is
- * answered. */
-void Rni_RaiseFence(struct runner *runner);
+/** Choose the first fence at an instance, or after it was unreachable: one
+ * that makes it refuse all earlier orders. */
+void Rni_TakeFence(struct runner *runner);
 
-/** Handle the refusal of an order or poll because of its fence. */
+/** Handle the refusal of an order or poll because of its fence. If it was the
+ * current one, that is raised by a step that doubles with each refusal, until
+ * a poll is answered. */
 void Rni_OnFenced(struct runner *runner, uint64_t fence);
 
 /** Emit RN_CRASH for an instance that has ended, if tasks had runs there. */
--- a/fuzz/fuzz_addr.c
+++ b/fuzz/fuzz_addr.c
@@ -5,7 +5,6 @@
 
 #include "base/addr.h"
 #include "fuzz.h"
-#include "shell/httpd.h"
 
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/shell/src/registry.c
+++ b/shell/src/registry.c
@@ -24,7 +24,7 @@
 static int
 is_amount(json_int_t number)
 {
-    return number >= 0 && number <= MAX_RESOURCE;
+    return number >= 0 && number <= WIRE_MAX_RESOURCE;
 }
 
 int
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -6,7 +6,6 @@
 #include "base/addr.h"
 #include "base/json.h"
 #include "base/log.h"
-#include "shell/httpd.h"
 
 enum kind { KIND_WORD, KIND_ADDR, KIND_TEXT, KIND_INT };
 
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -406,9 +406,16 @@
 }
 
 static int
-set_up(void **state)
+init_runner(void)
 {
     struct rn_sink sink = {emit, run_limit, NULL};
+    return Rn_Init(&runner, LEASE_MS * US_PER_MS, MAX_LEASE_MS * US_PER_MS,
+                   STOP_MS * US_PER_MS, sink, &counters);
+}
+
+static int
+set_up(void **state)
+{
     (void)state;
     memset(&counters, 0, sizeof(counters));
     memset(runs, 0, sizeof(runs));
@@ -428,8 +435,7 @@
     suspect_count = young_count = 0;
     ended_count = starts = ends = max_concurrent_runs = premature_ends =
         invalidated_count = 0;
-    return Rn_Init(&runner, LEASE_MS * US_PER_MS, MAX_LEASE_MS * US_PER_MS,
-                   STOP_MS * US_PER_MS, sink, &counters);
+    return init_runner();
 }
 
 static int
@@ -452,6 +458,14 @@
     ended_count = invalidated_count = 0;
 }
 
+/* The next starts get no reply, and are carried out after a time. */
+static void
+lose_starts(int count, uint64_t delay_ms)
+{
+    starts_to_lose = count;
+    lost_start_delay_ms = delay_ms;
+}
+
 static void
 announce(void)
 {
--- a/tests/net_upstream.h
+++ b/tests/net_upstream.h
@@ -1,8 +1,9 @@
 /** @file
  * Upstreams of a simulated network that hold leases. The agent's runner grants
  * them, and an upstream ends all its runs when they expire on its own clock,
- * whether or not the agent acts. Orders are carried out at once; replies reach
- * the agent in the next step in which it is not paused. */
+ * whether or not the agent acts. Orders are carried out at once, unless
+ * `net.fate` decides otherwise; replies reach the agent in the next step in
+ * which it is not paused. */
 #ifndef TESTS_NET_UPSTREAM_H
 #define TESTS_NET_UPSTREAM_H
 
@@ -131,22 +132,20 @@
     tab_handle task = ordered ? ordered->task : 0;
     enum net_fate fate =
         net->fate && act->type != RN_POLL ? net->fate(net) : NET_ANSWERED;
-    if (fate == NET_LATE && node->late_count < NET_MAX_ORDERS) {
+    if (fate == NET_ANSWERED) {
+        net_add_order(node, act, net_execute(node, act, task));
+        return;
+    }
+    if (fate == NET_UNANSWERED) {
+        net_execute(node, act, task);
+    }
+    else if (node->late_count < NET_MAX_ORDERS) {
         struct net_order *late = &node->late[node->late_count++];
         late->act = *act;
         late->task = task;
         late->execute_us = net->now.us + net->late_order_ms * US_PER_MS;
     }
-    if (fate == NET_LATE) {
-        net_add_order(node, act, RN_NO_ANSWER)->due_us += NET_TIMEOUT_US;
-        return;
-    }
-    enum rn_reply reply = net_execute(node, act, task);
-    if (fate == NET_UNANSWERED) {
-        net_add_order(node, act, RN_NO_ANSWER)->due_us += NET_TIMEOUT_US;
-        return;
-    }
-    net_add_order(node, act, reply);
+    net_add_order(node, act, RN_NO_ANSWER)->due_us += NET_TIMEOUT_US;
 }
 
 static void
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -93,8 +93,7 @@
 {
     (void)state;
     announce();
-    starts_to_lose = 1;
-    lost_start_delay_ms = 2000;
+    lose_starts(1, 2000);
     start_task(1, 1, 0);
     run_for(400);
     assert_int_equal(ends, 1);
@@ -111,8 +110,7 @@
     (void)state;
     run_ms = 5000;
     announce();
-    starts_to_lose = 5;
-    lost_start_delay_ms = 3000;
+    lose_starts(5, 3000);
     start_task(1, 1, 0);
     run_for(1000);
     assert_int_equal(ends, 1);
@@ -129,8 +127,7 @@
     (void)state;
     run_ms = 5000;
     announce();
-    starts_to_lose = 5;
-    lost_start_delay_ms = 1;
+    lose_starts(5, 1);
     start_task(1, 1, 0);
     run_for(800);
     assert_int_equal(ends, 0);
@@ -156,8 +153,7 @@
         for (uint32_t j = 0; j < 2; j++) {
             uint32_t ends_before = ends;
             uint64_t job = 1 + 2 * i + j;
-            starts_to_lose = 1;
-            lost_start_delay_ms = start_delays_ms[j];
+            lose_starts(1, start_delays_ms[j]);
             start_task(job, 1, 0);
             run_for(50);
             start_refusal = refusals[i];
@@ -192,8 +188,7 @@
         run_ms = 5000;
         announce();
         run_for(300);
-        starts_to_lose = 1;
-        lost_start_delay_ms = 20;
+        lose_starts(1, 20);
         start_task(1, 1, 0);
         run_for(50);
         assert_non_null(find_run(&id));
@@ -329,8 +324,7 @@
     run_ms = 5000;
     announce();
     run_for(500);
-    starts_to_lose = 1;
-    lost_start_delay_ms = 1500;
+    lose_starts(1, 1500);
     start_task(1, 1, 0);
     run_for(1);
     restart_upstream(100);
@@ -352,8 +346,7 @@
     (void)state;
     run_ms = 50000;
     announce();
-    starts_to_lose = 1;
-    lost_start_delay_ms = 5000;
+    lose_starts(1, 5000);
     start_task(1, 1, 0);
     run_for(101);
     assert_int_equal(starts, 2);
@@ -369,12 +362,8 @@
 static void
 restart_agent(void)
 {
-    struct rn_sink sink = {emit, run_limit, NULL};
     Rn_Finish(&runner);
-    assert_int_equal(Rn_Init(&runner, LEASE_MS * US_PER_MS,
-                             MAX_LEASE_MS * US_PER_MS, STOP_MS * US_PER_MS,
-                             sink, &counters),
-                     0);
+    assert_int_equal(init_runner(), 0);
     memset(orders, 0, sizeof(orders));
     ready = 0;
 }
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -40,7 +40,7 @@
 
 /** Largest amount of a resource, half the range, so that the sum of two does
  * not overflow. */
-#define MAX_RESOURCE (UINT32_MAX / 2)
+#define WIRE_MAX_RESOURCE (UINT32_MAX / 2)
 
 /** Resources of a worker other than task slots. */
 struct resources {
