--- a/fuzz/fuzz_addr.c
+++ b/fuzz/fuzz_addr.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/addr.h"
+#include "wire/msg.h"
 #include "fuzz.h"
 
 int
