httpc: requests and responses of its own over connections of lws

lws now opens connections and moves bytes. Hc_Call() never calls back before it has returned, and a failure is reported from a timer, not from within lws. A call whose idle connection was closed before anything was sent uses a new one. One virtual host a client instead of one a connection.

--- a/shell/include/shell/httpc.h
+++ b/shell/include/shell/httpc.h
@@ -1,7 +1,6 @@
 /** @file
- * HTTP/1.1 client on libwebsockets, with persistent connections.
- *
- * Each connection carries one call at a time. */
+ * HTTP/1.1 client with persistent connections, on the connections of
+ * libwebsockets. Each carries one call at a time. */
 #ifndef SHELL_HTTPC_H
 #define SHELL_HTTPC_H
 
@@ -21,7 +20,8 @@
     struct bytes body; /**< Body of the answer. */
 };
 
-/** Called exactly once for each call that Hc_Call() accepted. */
+/** Called exactly once for each call that Hc_Call() accepted; it may start
+ * calls. */
 typedef void hc_done(void *context, const struct hc_result *result);
 
 /** Parameters of a call. All but `extra_name` are copied by Hc_Call(). */
@@ -36,8 +36,7 @@
                                   NULL. Must stay valid during the call. */
     const char *extra_value; /**< Value of that header, or NULL. */
     uint32_t timeout_ms;
-    int tls; /**< Use TLS and accept self-signed certificates and any host
-                  name in them. */
+    int tls; /**< 1: use TLS and accept any certificate. */
     hc_done *done;
     void *context;
 };
@@ -47,6 +46,7 @@
 /** An HTTP client. */
 struct httpc {
     struct loop *loop;
+    struct lws_vhost *vhost;
     uint32_t conn_count;
     struct hc_conn *conns;
 };
@@ -59,9 +59,10 @@
 /** Free the client, after Loop_Finish(). Calls in progress get no callback. */
 void Hc_Finish(struct httpc *httpc);
 
-/** Start a call. The callback may run before this returns. Returns -1,
- * without a callback, when all connections are in use, the address is invalid
- * or memory is exhausted. */
+/** Start a call. The callback runs after this has returned, from the loop.
+ * Returns -1, without a callback, when all connections are in use, the
+ * address, the path or a value of a header is invalid or memory is exhausted.
+ */
 int Hc_Call(struct httpc *httpc, const struct hc_call *call);
 
 #endif
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -5,177 +5,215 @@
 #include <string.h>
 
 #include "base/addr.h"
-#include "base/log.h"
+#include "shell/http_reply.h"
 #include "shell/httpd.h"
+#include "shell/tls_client.h"
+
+/* lws is used for TCP only. Its HTTP client, version 4.1.6, writes to freed
+ * memory if it reuses a connection that the server has reset; it doesn't open
+ * connections with TLS for other protocols. */
 
 /* An idle connection is closed after this time. */
 #define IDLE_TIMEOUT_S 20
-/* Time from the start of a call until the timeout of lws for the answer, 5 s,
- * is replaced by that of the call. */
-#define RESPONSE_TIMER_US 2000000
-#define READ_BUFFER_SIZE 16384
-/* Limit of the body of an answer, in bytes. */
-#define MAX_REPLY (16u << 20)
+#define HEAD_SIZE 1024
+#define BUFFER_SIZE 4096
 
 /* A persistent connection and the call in progress on it. */
 struct hc_conn {
     struct httpc *httpc;
-    struct lws_vhost *vhost;
-    char name[16];
-    int busy;
-    int is_closing; /* Timed out, and lws has not destroyed `wsi` yet. */
-    int sequence;
-    struct lws *wsi;
-    hc_done *done;
-    void *context;
-    unsigned char *body; /* LWS_PRE bytes, then the request's body. */
-    size_t body_size;
-    char token[HS_HEADER_SIZE];
-    char key[HS_HEADER_SIZE];
-    const char *extra_name;
-    char extra_value[HS_HEADER_SIZE];
-    int status;
+    struct lws *wsi; /* NULL if there is no connection. */
+    char addr[WIRE_ADDR_SIZE];
+    int has_tls;
+    struct tls_client tls;
+    int busy;      /* A call is in progress. */
+    int is_reused; /* It found the connection open. */
+    int is_closed; /* lws has closed the connection. */
     int sent;
     int refused;
-    unsigned char *reply;
-    size_t reply_size;
-    uint32_t timeout_ms;
-    lws_sorted_usec_list_t timeout_timer;
-    lws_sorted_usec_list_t response_timer;
+    uint64_t end_us; /* Time at which the call times out. */
+    hc_done *done;
+    void *context;
+    unsigned char *request; /* LWS_PRE bytes, then head and body. */
+    size_t request_size;
+    struct hr_reader reply;
+    /* For the next step of a call, its timeout or that of the idle
+     * connection. */
+    lws_sorted_usec_list_t timer;
 };
 
 static void
-finish_call(struct hc_conn *conn, int status)
+set_timer(struct hc_conn *conn, void (*fire)(lws_sorted_usec_list_t *sul),
+          lws_usec_t us)
 {
-    if (!conn->busy) {
-        return;
+    lws_sul_schedule(conn->httpc->loop->lws, 0, &conn->timer, fire, us);
+}
+
+static void
+close_conn(struct hc_conn *conn)
+{
+    if (conn->wsi) {
+        lws_set_opaque_user_data(conn->wsi, NULL);
+        lws_set_timeout(conn->wsi, PENDING_TIMEOUT_CLOSE_SEND,
+                        LWS_TO_KILL_ASYNC);
+        conn->wsi = NULL;
     }
+}
+
+static void
+on_idle(lws_sorted_usec_list_t *sul)
+{
+    close_conn(lws_container_of(sul, struct hc_conn, timer));
+}
+
+static void
+finish_call(struct hc_conn *conn, int status)
+{
+    struct hr_reader reply = conn->reply;
     struct hc_result result = {
         .status = status,
         .sent = conn->sent,
         .refused = conn->refused,
-        .body = {conn->reply, (uint32_t)conn->reply_size},
+        .body = {reply.body, reply.body_size},
     };
-    unsigned char *reply = conn->reply;
-    hc_done *done = conn->done;
-    lws_sul_schedule(conn->httpc->loop->lws, 0, &conn->timeout_timer, NULL,
-                     LWS_SET_TIMER_USEC_CANCEL);
-    lws_sul_schedule(conn->httpc->loop->lws, 0, &conn->response_timer, NULL,
-                     LWS_SET_TIMER_USEC_CANCEL);
-    free(conn->body);
-    conn->body = NULL;
-    conn->reply = NULL;
-    conn->reply_size = 0;
+    free(conn->request);
+    conn->request = NULL;
+    Hr_Init(&conn->reply);
     conn->busy = 0;
-    conn->wsi = NULL;
-    done(conn->context, &result);
-    free(reply);
+    set_timer(conn, on_idle, IDLE_TIMEOUT_S * LWS_US_PER_SEC);
+    conn->done(conn->context, &result);
+    Hr_Finish(&reply);
 }
 
 static void
-on_timeout(lws_sorted_usec_list_t *sul)
+on_failure(lws_sorted_usec_list_t *sul)
 {
-    struct hc_conn *conn =
-        lws_container_of(sul, struct hc_conn, timeout_timer);
-    if (conn->wsi) {
-        /* lws would queue a new call until this connection is closed, so it
-         * takes no call before that. */
-        conn->is_closing = 1;
-        lws_set_timeout(conn->wsi, PENDING_TIMEOUT_CLOSE_SEND,
-                        LWS_TO_KILL_ASYNC);
-    }
+    struct hc_conn *conn = lws_container_of(sul, struct hc_conn, timer);
+    close_conn(conn);
     finish_call(conn, 0);
 }
 
-/* lws waits 5 s for an answer; replaces that by the timeout of the call. */
+/* Ends the call without an answer. That is reported in a later iteration of
+ * the loop, as lws may be opening or closing the connection now. */
 static void
-on_response_timer(lws_sorted_usec_list_t *sul)
+fail_call(struct hc_conn *conn)
 {
-    struct hc_conn *conn =
-        lws_container_of(sul, struct hc_conn, response_timer);
-    if (conn->wsi) {
-        lws_set_timeout(conn->wsi, PENDING_TIMEOUT_AWAITING_SERVER_RESPONSE,
-                        (int)(conn->timeout_ms / 1000 + 1));
+    set_timer(conn, on_failure, 1);
+}
+
+static void
+on_reply(struct hc_conn *conn)
+{
+    if (!conn->reply.is_persistent) {
+        close_conn(conn);
     }
+    finish_call(conn, conn->reply.status);
 }
 
+/* The functions below return -1 if the connection is to be closed. */
+
 static int
-add_header(struct lws *wsi, const char *name, const char *value,
-           unsigned char **p, unsigned char *end)
+read_reply(struct hc_conn *conn, const void *data, size_t size)
 {
-    return lws_add_http_header_by_name(wsi, (const unsigned char *)name,
-                                       (const unsigned char *)value,
-                                       (int)strlen(value), p, end);
+    if (!conn->busy || !conn->sent ||
+        Hr_Read(&conn->reply, data, size) != size) {
+        return -1;
+    }
+    switch (conn->reply.state) {
+    case HR_COMPLETE:
+        on_reply(conn);
+        return 0;
+    case HR_INVALID:
+        return -1;
+    default:
+        return 0;
+    }
 }
 
+/* `data` begins with LWS_PRE bytes that are not sent. */
 static int
-add_headers(struct hc_conn *conn, struct lws *wsi, unsigned char **p,
-            size_t size)
+send_bytes(struct hc_conn *conn, unsigned char *data, size_t size)
 {
-    unsigned char *end = *p + size - 1;
-    char text[HS_HEADER_SIZE + 8];
-    if (conn->body_size) {
-        snprintf(text, sizeof(text), "%zu", conn->body_size);
-        if (add_header(wsi, "content-length:", text, p, end) ||
-            add_header(wsi, "content-type:", "application/json", p, end)) {
-            return -1;
-        }
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
-    }
-    if (conn->token[0]) {
-        snprintf(text, sizeof(text), "Bearer %s", conn->token);
-        if (add_header(wsi, "authorization:", text, p, end)) {
+    return lws_write(conn->wsi, data + LWS_PRE, size, LWS_WRITE_RAW) < 0 ? -1
+                                                                         : 0;
+}
+
+static int
+send_tls(struct hc_conn *conn)
+{
+    unsigned char data[LWS_PRE + BUFFER_SIZE];
+    size_t size;
+    while ((size = Tls_TakeOutput(&conn->tls, data + LWS_PRE, BUFFER_SIZE))) {
+        if (send_bytes(conn, data, size)) {
             return -1;
         }
     }
-    if (conn->extra_name && conn->extra_value[0] &&
-        add_header(wsi, conn->extra_name, conn->extra_value, p, end)) {
-        return -1;
-    }
-    if (conn->key[0] &&
-        add_header(wsi, "idempotency-key:", conn->key, p, end)) {
-        return -1;
-    }
     return 0;
 }
 
 static int
-append_reply(struct hc_conn *conn, const void *data, size_t size)
+write_request(struct hc_conn *conn)
 {
-    if (conn->reply_size + size > MAX_REPLY) {
-        return -1;
+    if (!conn->busy || conn->sent) {
+        return 0;
     }
-    unsigned char *reply = realloc(conn->reply, conn->reply_size + size + 1);
-    if (!reply) {
-        return -1;
+    if (conn->has_tls && !Tls_IsReady(&conn->tls)) {
+        return 0;
     }
-    memcpy(reply + conn->reply_size, data, size);
-    conn->reply = reply;
-    conn->reply_size += size;
-    return 0;
+    conn->sent = 1;
+    if (conn->has_tls) {
+        return Tls_Write(&conn->tls, conn->request + LWS_PRE,
+                         conn->request_size) ||
+                       send_tls(conn)
+                   ? -1
+                   : 0;
+    }
+    return send_bytes(conn, conn->request, conn->request_size);
 }
 
 static int
-read_reply(struct lws *wsi)
+begin_tls(struct hc_conn *conn)
 {
-    char buffer[LWS_PRE + READ_BUFFER_SIZE];
-    char *p = buffer + LWS_PRE;
-    int size = READ_BUFFER_SIZE;
-    return lws_http_client_read(wsi, &p, &size) < 0 ? -1 : 0;
+    Tls_Finish(&conn->tls);
+    return Tls_Init(&conn->tls) || send_tls(conn) ? -1 : 0;
 }
 
 static int
-write_body(struct hc_conn *conn, struct lws *wsi)
+read_tls(struct hc_conn *conn, const void *data, size_t size)
 {
-    if (!conn->body_size || !conn->body) {
-        return 0;
+    char text[BUFFER_SIZE];
+    int got;
+    if (Tls_OnReceived(&conn->tls, data, size) || send_tls(conn) ||
+        write_request(conn)) {
+        return -1;
+    }
+    while ((got = Tls_Read(&conn->tls, text, sizeof(text))) > 0) {
+        if (read_reply(conn, text, (size_t)got)) {
+            return -1;
+        }
+    }
+    return got;
+}
+
+static void reopen(lws_sorted_usec_list_t *sul);
+
+static void
+on_close(struct hc_conn *conn)
+{
+    conn->wsi = NULL;
+    conn->is_closed = 1;
+    if (!conn->busy) {
+        return;
+    }
+    if (conn->sent && Hr_OnClose(&conn->reply) == 0) {
+        on_reply(conn);
+    }
+    else if (!conn->sent && conn->is_reused) {
+        /* The server has closed the idle connection. */
+        set_timer(conn, reopen, 1);
+    }
+    else {
+        fail_call(conn);
     }
-    int wrote = lws_write(wsi, conn->body + LWS_PRE, conn->body_size,
-                          LWS_WRITE_HTTP_FINAL);
-    lws_client_http_body_pending(wsi, 0);
-    conn->body_size = 0;
-    return wrote < 0 ? -1 : 0;
 }
 
 static int
@@ -186,37 +224,22 @@
     if (!conn) {
         return lws_callback_http_dummy(wsi, reason, user, in, len);
     }
-    if (conn->is_closing) {
-        if (reason == LWS_CALLBACK_WSI_DESTROY) {
-            conn->is_closing = 0;
-        }
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
-    }
     switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        conn->sent = 1;
-        return add_headers(conn, wsi, (unsigned char **)in, len);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return write_body(conn, wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        conn->status = (int)lws_http_client_http_response(wsi);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        return append_reply(conn, in, len);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return read_reply(wsi);
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        lws_set_opaque_user_data(wsi, NULL);
-        finish_call(conn, conn->status);
-        return 0;
+    case LWS_CALLBACK_RAW_CONNECTED:
+        lws_callback_on_writable(wsi);
+        return conn->has_tls ? begin_tls(conn) : 0;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        return write_request(conn);
+    case LWS_CALLBACK_RAW_RX:
+        return conn->has_tls ? read_tls(conn, in, len)
+                             : read_reply(conn, in, len);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
         /* lws reports a refused connection by this text only. */
-        conn->refused = !conn->sent &&
-                        reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR && in &&
-                        strcmp(in, "Unable to connect") == 0;
-        lws_set_opaque_user_data(wsi, NULL);
-        finish_call(conn, 0);
+        conn->refused = in && strcmp(in, "Unable to connect") == 0;
+        on_close(conn);
+        return 0;
+    case LWS_CALLBACK_RAW_CLOSE:
+        on_close(conn);
         return 0;
     default:
         return lws_callback_http_dummy(wsi, reason, user, in, len);
@@ -240,6 +263,9 @@
         return Err_Set(err, CODE_NO_MEMORY, "no memory for %u connections",
                        max_calls);
     }
+    for (uint32_t i = 0; i < max_calls; i++) {
+        httpc->conns[i].httpc = httpc;
+    }
     return 0;
 }
 
@@ -247,110 +273,210 @@
 Hc_Finish(struct httpc *httpc)
 {
     for (uint32_t i = 0; i < httpc->conn_count; i++) {
-        free(httpc->conns[i].body);
-        free(httpc->conns[i].reply);
+        free(httpc->conns[i].request);
+        Hr_Finish(&httpc->conns[i].reply);
+        Tls_Finish(&httpc->conns[i].tls);
     }
     free(httpc->conns);
 }
 
-/* lws queues a call behind a busy connection of the same virtual host, so each
- * connection has a virtual host of its own. */
 static struct lws_vhost *
-make_vhost(struct loop *loop, struct hc_conn *conn, int index, int tls)
+get_vhost(struct httpc *httpc)
 {
-    struct lws_context_creation_info info = {0};
-    snprintf(conn->name, sizeof(conn->name), "lane%d", index);
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.vhost_name = conn->name;
-    info.protocols = protocols;
-    info.timeout_secs = 30;
-    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-    if (tls) {
-        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-    }
-    return lws_create_vhost(loop->lws, &info);
+    if (!httpc->vhost) {
+        struct lws_context_creation_info info = {0};
+        info.port = CONTEXT_PORT_NO_LISTEN;
+        info.vhost_name = protocols[0].name;
+        info.protocols = protocols;
+        info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+        httpc->vhost = lws_create_vhost(httpc->loop->lws, &info);
+    }
+    return httpc->vhost;
 }
 
+/* Returns a connection without a call: one that is open to the address of the
+ * call if possible, else one that is not in use, else one to another address,
+ * which is closed. Returns NULL if there is none. */
 static struct hc_conn *
-find_idle_conn(struct httpc *httpc, int tls)
+find_conn(struct httpc *httpc, const struct hc_call *call)
 {
+    struct hc_conn *unused = NULL;
+    struct hc_conn *other = NULL;
     for (uint32_t i = 0; i < httpc->conn_count; i++) {
         struct hc_conn *conn = &httpc->conns[i];
-        if (conn->busy || conn->is_closing) {
+        if (conn->busy) {
             continue;
         }
-        if (!conn->vhost) {
-            conn->httpc = httpc;
-            conn->vhost = make_vhost(httpc->loop, conn, (int)i, tls);
+        if (!conn->wsi) {
+            unused = unused ? unused : conn;
+        }
+        else if (conn->has_tls == call->tls &&
+                 strcmp(conn->addr, call->addr) == 0) {
+            return conn;
+        }
+        else {
+            other = conn;
+        }
+    }
+    if (!unused && other) {
+        close_conn(other);
+        return other;
+    }
+    return unused;
+}
+
+/* True if `text` can be a part of a line of the head. */
+static int
+is_printable(const char *text)
+{
+    for (; *text; text++) {
+        if ((unsigned char)*text < ' ' || *text == 127) {
+            return 0;
         }
-        return conn->vhost ? conn : NULL;
     }
-    return NULL;
+    return 1;
 }
 
+/* Appends a header line to `head` if it has a value. */
 static int
-set_call(struct hc_conn *conn, const struct hc_call *call)
+add_header(char *head, const char *name, const char *value)
 {
-    conn->body = malloc(LWS_PRE + call->body.size + 1);
-    if (!conn->body) {
+    size_t size = strlen(head);
+    if (!value || !value[0]) {
+        return 0;
+    }
+    int added =
+        snprintf(head + size, HEAD_SIZE - size, "%s %s\r\n", name, value);
+    return is_printable(value) && (size_t)added < HEAD_SIZE - size ? 0 : -1;
+}
+
+static int
+write_head(char *head, const struct hc_call *call)
+{
+    char text[HS_HEADER_SIZE + 16] = "";
+    int size = snprintf(head, HEAD_SIZE, "%s %s HTTP/1.1\r\n", call->method,
+                        call->path);
+    if (size >= HEAD_SIZE || !is_printable(call->path) ||
+        strchr(call->path, ' ') || add_header(head, "Host:", call->addr)) {
         return -1;
     }
-    if (call->body.size) {
-        memcpy(conn->body + LWS_PRE, call->body.data, call->body.size);
+    if (call->token && call->token[0]) {
+        snprintf(text, sizeof(text), "Bearer %s", call->token);
     }
-    conn->body_size = call->body.size;
-    conn->done = call->done;
-    conn->context = call->context;
-    conn->status = 0;
-    conn->sent = 0;
-    conn->refused = 0;
-    snprintf(conn->token, sizeof(conn->token), "%s",
-             call->token ? call->token : "");
-    snprintf(conn->key, sizeof(conn->key), "%s", call->key ? call->key : "");
-    conn->extra_name = call->extra_name;
-    snprintf(conn->extra_value, sizeof(conn->extra_value), "%s",
-             call->extra_value ? call->extra_value : "");
-    conn->busy = 1;
-    return 0;
+    if (add_header(head, "Authorization:", text) ||
+        add_header(head, "Idempotency-Key:", call->key) ||
+        (call->extra_name &&
+         add_header(head, call->extra_name, call->extra_value))) {
+        return -1;
+    }
+    text[0] = '\0';
+    if (call->body.size || strcmp(call->method, "POST") == 0) {
+        snprintf(text, sizeof(text), "%u", call->body.size);
+    }
+    if (add_header(head, "Content-Length:", text) ||
+        (call->body.size &&
+         add_header(head, "Content-Type:", "application/json"))) {
+        return -1;
+    }
+    size = (int)strlen(head);
+    return snprintf(head + size, (size_t)(HEAD_SIZE - size), "\r\n") <
+                   HEAD_SIZE - size
+               ? 0
+               : -1;
 }
 
-int
-Hc_Call(struct httpc *httpc, const struct hc_call *call)
+static int
+set_request(struct hc_conn *conn, const struct hc_call *call)
 {
-    char host[64];
-    int port;
-    struct hc_conn *conn = find_idle_conn(httpc, call->tls);
-    if (!conn || Addr_Split(call->addr, host, sizeof(host), &port) ||
-        set_call(conn, call)) {
+    char head[HEAD_SIZE];
+    if (write_head(head, call)) {
+        return -1;
+    }
+    size_t head_size = strlen(head);
+    conn->request = malloc(LWS_PRE + head_size + call->body.size);
+    if (!conn->request) {
         return -1;
     }
+    memcpy(conn->request + LWS_PRE, head, head_size);
+    if (call->body.size) {
+        memcpy(conn->request + LWS_PRE + head_size, call->body.data,
+               call->body.size);
+    }
+    conn->request_size = head_size + call->body.size;
+    return 0;
+}
+
+/* Opens a connection for the call. */
+static void
+open_conn(struct hc_conn *conn)
+{
     struct lws_client_connect_info info = {0};
-    info.context = httpc->loop->lws;
-    info.vhost = conn->vhost;
+    char host[WIRE_ADDR_SIZE];
+    conn->is_reused = 0;
+    conn->is_closed = 0;
+    if (Addr_Split(conn->addr, host, sizeof(host), &info.port) ||
+        !(info.vhost = get_vhost(conn->httpc))) {
+        fail_call(conn);
+        return;
+    }
+    info.context = conn->httpc->loop->lws;
     info.address = host;
     info.host = host;
     info.origin = host;
-    info.port = port;
-    info.path = call->path;
-    info.method = call->method;
-    info.protocol = "http-client";
-    info.local_protocol_name = "http-client";
-    info.alpn = "http/1.1";
-    info.keep_warm_secs = IDLE_TIMEOUT_S;
-    info.ssl_connection = LCCSCF_PIPELINE;
-    if (call->tls) {
-        info.ssl_connection |= LCCSCF_USE_SSL | LCCSCF_ALLOW_SELFSIGNED |
-                               LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
-    }
+    info.path = "";
+    info.method = "RAW";
+    info.local_protocol_name = protocols[0].name;
     info.opaque_user_data = conn;
-    lws_sul_schedule(httpc->loop->lws, 0, &conn->timeout_timer, on_timeout,
-                     (lws_usec_t)(call->timeout_ms * US_PER_MS));
-    conn->timeout_ms = call->timeout_ms;
-    lws_sul_schedule(httpc->loop->lws, 0, &conn->response_timer,
-                     on_response_timer, RESPONSE_TIMER_US);
-    conn->wsi = lws_client_connect_via_info(&info);
-    if (!conn->wsi) {
-        finish_call(conn, 0);
+    struct lws *wsi = lws_client_connect_via_info(&info);
+    if (!wsi || conn->is_closed) {
+        fail_call(conn);
+        return;
+    }
+    conn->wsi = wsi;
+}
+
+/* Sets the timeout of the call. */
+static void
+set_timeout(struct hc_conn *conn)
+{
+    uint64_t now_us = Loop_Now().us;
+    set_timer(conn, on_failure,
+              conn->end_us > now_us ? (lws_usec_t)(conn->end_us - now_us) : 1);
+}
+
+static void
+reopen(lws_sorted_usec_list_t *sul)
+{
+    struct hc_conn *conn = lws_container_of(sul, struct hc_conn, timer);
+    set_timeout(conn);
+    open_conn(conn);
+}
+
+int
+Hc_Call(struct httpc *httpc, const struct hc_call *call)
+{
+    char host[WIRE_ADDR_SIZE];
+    int port;
+    struct hc_conn *conn;
+    if (Addr_Split(call->addr, host, sizeof(host), &port) ||
+        !(conn = find_conn(httpc, call)) || set_request(conn, call)) {
+        return -1;
+    }
+    Hr_Init(&conn->reply);
+    conn->busy = 1;
+    conn->sent = 0;
+    conn->refused = 0;
+    conn->done = call->done;
+    conn->context = call->context;
+    conn->end_us = Loop_Now().us + call->timeout_ms * US_PER_MS;
+    set_timeout(conn);
+    if (conn->wsi) {
+        conn->is_reused = 1;
+        lws_callback_on_writable(conn->wsi);
+        return 0;
     }
+    conn->has_tls = call->tls;
+    snprintf(conn->addr, sizeof(conn->addr), "%s", call->addr);
+    open_conn(conn);
     return 0;
 }
--- a/tests/test_httpd_tls.c
+++ b/tests/test_httpd_tls.c
@@ -16,6 +16,7 @@
 #include <openssl/ssl.h>
 
 #include "base/addr.h"
+#include "shell/httpc.h"
 #include "shell/httpd.h"
 
 #define PORT 20760
@@ -60,6 +61,7 @@
 
 static struct loop loop;
 static struct httpd server;
+static struct httpc http;
 static struct counters counters;
 static SSL_CTX *client_context;
 static char listen_addr[32];
@@ -147,6 +149,7 @@
     (void)state;
     Loop_Finish(&loop);
     Hs_Finish(&server);
+    Hc_Finish(&http);
     SSL_CTX_free(client_context);
     unlink(cert_path);
     unlink(key_path);
@@ -280,6 +283,46 @@
     assert_int_equal(handled_count, 1);
 }
 
+static int calls_ended;
+static int calls_answered;
+
+static void
+on_answer(void *context, const struct hc_result *result)
+{
+    (void)context;
+    calls_ended++;
+    calls_answered += result->status == 200 && result->body.size == 2;
+}
+
+/* Two calls over one connection; the body is larger than a TLS record. */
+static void
+the_client_is_answered_over_tls(void **state)
+{
+    static char body[40000];
+    struct err err = {0};
+    struct hc_call call = {
+        .addr = listen_addr,
+        .method = "POST",
+        .path = "/job",
+        .body = {body, sizeof(body)},
+        .timeout_ms = 60000,
+        .tls = 1,
+        .done = on_answer,
+    };
+    (void)state;
+    memset(body, ' ', sizeof(body));
+    handled_count = 0;
+    assert_int_equal(Hc_Init(&http, &loop, 1, &err), 0);
+    for (int i = 0; i < 2; i++) {
+        assert_int_equal(Hc_Call(&http, &call), 0);
+        while (calls_ended == i) {
+            assert_true(lws_service(loop.lws, 0) >= 0);
+        }
+    }
+    assert_int_equal(handled_count, 2);
+    assert_int_equal(calls_answered, 2);
+}
+
 int
 main(void)
 {
@@ -287,6 +330,7 @@
         cmocka_unit_test(a_tls_request_of_a_closed_connection_is_not_handled),
         cmocka_unit_test(
             an_http2_request_of_a_closed_connection_is_not_handled),
+        cmocka_unit_test(the_client_is_answered_over_tls),
     };
     return cmocka_run_group_tests(tests, set_up, tear_down);
 }
