--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -25,7 +25,6 @@
 #include "shell/httpc.h"
 
 #define PORT 20710
-#define ADDR "127.0.0.1:20710"
 /* Calls in progress, connections of the client, and of the server at most. */
 #define CALLS 24
 #define CONNS 96
@@ -52,6 +51,11 @@
     int slot;
 };
 
+/* Of the server. Each process has an address of its own, so that copies of
+ * this test can run at the same time. */
+static uint32_t server_ip;
+static char server_addr[32];
+
 static struct loop loop;
 static struct httpc client;
 static int begun;
@@ -69,7 +73,7 @@
     struct sockaddr_in addr = {.sin_family = AF_INET, .sin_port = htons(PORT)};
     int one = 1;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    addr.sin_addr.s_addr = htonl(server_ip);
     if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) ||
         bind(fd, (struct sockaddr *)&addr, sizeof(addr)) || listen(fd, 64)) {
         _exit(3);
@@ -203,7 +207,7 @@
     request->slot = slot;
     snprintf(body, sizeof(body), "{\"call\":%d}", request->call);
     struct hc_call call = {
-        .addr = ADDR,
+        .addr = server_addr,
         .method = "POST",
         .path = "/order",
         .body = {body, (uint32_t)strlen(body)},
@@ -337,7 +341,7 @@
 {
     char byte;
     struct hc_call call = {
-        .addr = ADDR,
+        .addr = server_addr,
         .method = "POST",
         .path = "/order",
         .body = {"{}", 2},
@@ -382,6 +386,18 @@
     assert_int_equal(ended_in_call, 0);
 }
 
+static void
+choose_address(void)
+{
+    uint32_t pid = (uint32_t)getpid();
+    uint32_t a = 1 + (pid >> 16 & 63);
+    uint32_t b = pid >> 8 & 255;
+    uint32_t c = 1 + (pid & 255) % 254;
+    server_ip = 127u << 24 | a << 16 | b << 8 | c;
+    snprintf(server_addr, sizeof(server_addr), "127.%u.%u.%u:%d", a, b, c,
+             PORT);
+}
+
 int
 main(void)
 {
@@ -393,5 +409,6 @@
         cmocka_unit_test(calls_are_repeated_after_a_part_of_an_answer),
         cmocka_unit_test(calls_are_repeated_while_all_connections_are_reset),
     };
+    choose_address();
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
