tests: test_httpc waits for what it relies on

The server listened only after it was forked, and reset a connection 5 ms after the answer had reached the client's kernel.

--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -1,6 +1,5 @@
 /* Calls of the HTTP client over connections that the server resets, leaves
  * unanswered or refuses, each repeated as soon as it has ended. */
-#include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <setjmp.h>
@@ -14,8 +13,6 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -48,7 +45,7 @@
 
 struct request {
     int call;
-    int slot;
+    int has_ended;
 };
 
 /* Of the server. Each process has an address of its own, so that copies of
@@ -137,13 +134,13 @@
 }
 
 static void
-serve(const struct behaviour *behaviour)
+serve(int listener, const struct behaviour *behaviour)
 {
     struct pollfd fds[MAX_CONNS + 1];
     int count = 1;
     srand(1);
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    fds[0] = (struct pollfd){listen_at_port(), POLLIN, 0};
+    fds[0] = (struct pollfd){listener, POLLIN, 0};
     for (;;) {
         poll(fds, (nfds_t)count, -1);
         for (int i = count - 1; i > 0; i--) {
@@ -172,7 +169,7 @@
 
 /* -- Client. */
 
-static void begin(int slot);
+static void begin(void);
 
 static void
 on_done(void *context, const struct hc_result *result)
@@ -180,18 +177,17 @@
     struct request *request = context;
     char expected[32];
     ended_in_call += in_call;
-    assert_true(request->slot >= 0);
+    assert_false(request->has_ended);
+    request->has_ended = 1;
     if (result->status == 200) {
         snprintf(expected, sizeof(expected), "{\"call\":%d}", request->call);
         assert_int_equal(result->body.size, strlen(expected));
         assert_memory_equal(result->body.data, expected, result->body.size);
         answered++;
     }
-    int slot = request->slot;
-    request->slot = -1;
     ended++;
     if (begun < TOTAL) {
-        begin(slot);
+        begin();
     }
     else if (ended == TOTAL) {
         Loop_Stop(&loop);
@@ -199,12 +195,12 @@
 }
 
 static void
-begin(int slot)
+begin(void)
 {
     char body[32];
     struct request *request = &requests[begun];
     request->call = begun++;
-    request->slot = slot;
+    request->has_ended = 0;
     snprintf(body, sizeof(body), "{\"call\":%d}", request->call);
     struct hc_call call = {
         .addr = server_addr,
@@ -242,14 +238,16 @@
 static void
 run(const struct behaviour *behaviour)
 {
+    int listener = listen_at_port();
     pid_t server = fork();
     assert_true(server >= 0);
     if (server == 0) {
-        serve(behaviour);
+        serve(listener, behaviour);
     }
+    close(listener);
     begin_client(CONNS);
     for (int i = 0; i < CALLS; i++) {
-        begin(i);
+        begin();
     }
     Loop_Run(&loop);
     end_client(server);
@@ -292,17 +290,29 @@
 
 /* -- Calls over a connection that the server has reset since the last one. */
 
-static int reset_pipe[2]; /* One byte for each reset. */
+/* The client writes a byte when it has an answer, and reads one when the
+ * server has reset the connection. */
+static int answer_pipe[2];
+static int reset_pipe[2];
 static struct loop_timer next_call;
 
+static void
+wait_for_byte(int fd)
+{
+    char byte;
+    if (read(fd, &byte, 1) != 1) {
+        abort();
+    }
+}
+
 /* Answers one request of each connection, then resets it. */
 static void
-serve_once_each(void)
+serve_once_each(int listener)
 {
     static const char reply[] =
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
     char text[2048];
-    struct pollfd ready = {listen_at_port(), POLLIN, 0};
+    struct pollfd ready = {listener, POLLIN, 0};
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     for (;;) {
         poll(&ready, 1, -1);
@@ -313,13 +323,7 @@
             size += received > 0 ? (size_t)received : 0;
         } while (!memchr(text, '}', size));
         (void)!send(fd, reply, strlen(reply), MSG_NOSIGNAL);
-        /* The client closes nothing; this waits until it has the answer. */
-        int unread = 1;
-        while (unread) {
-            usleep(1000);
-            ioctl(fd, SIOCOUTQ, &unread);
-        }
-        usleep(5000);
+        wait_for_byte(answer_pipe[0]);
         reset(fd);
         (void)!write(reset_pipe[1], "r", 1);
     }
@@ -339,7 +343,6 @@
 static void
 call_after_reset(void *context)
 {
-    char byte;
     struct hc_call call = {
         .addr = server_addr,
         .method = "POST",
@@ -357,7 +360,8 @@
         return;
     }
     if (begun) {
-        assert_int_equal(read(reset_pipe[0], &byte, 1), 1);
+        assert_int_equal(write(answer_pipe[1], "a", 1), 1);
+        wait_for_byte(reset_pipe[0]);
     }
     begun++;
     in_call++;
@@ -369,19 +373,24 @@
 a_call_is_sent_again_if_its_connection_was_reset_at_rest(void **state)
 {
     (void)state;
+    assert_int_equal(pipe2(answer_pipe, O_CLOEXEC), 0);
     assert_int_equal(pipe2(reset_pipe, O_CLOEXEC), 0);
+    int listener = listen_at_port();
     pid_t server = fork();
     assert_true(server >= 0);
     if (server == 0) {
-        serve_once_each();
+        serve_once_each(listener);
     }
+    close(listener);
     begin_client(2);
     assert_int_equal(
         Loop_Every(&loop, &next_call, 2000, call_after_reset, NULL), 0);
     Loop_Run(&loop);
     end_client(server);
-    close(reset_pipe[0]);
-    close(reset_pipe[1]);
+    for (int i = 0; i < 2; i++) {
+        close(answer_pipe[i]);
+        close(reset_pipe[i]);
+    }
     assert_int_equal(answered, RESETS);
     assert_int_equal(ended_in_call, 0);
 }
