--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -202,6 +202,7 @@
         self.state = "ready"
         self.runs = []  # all runs, of all its lives
         self.alive = threading.Event()
+        self.life = 0  # rises with each crash
         self.beat_at_s = 0
         self.begin_life()
         self.listen()
@@ -216,9 +217,14 @@
     def listen(self):
         executor = self
 
+        life = self.life
+
         class ExecutorHandler(Handler):
             def do_POST(self):
                 body = json.loads(self.body())
+                if executor.life != life:  # the process that it connected to has ended
+                    self.close_connection = True
+                    return
                 expected = self.headers.get("Jacinthpick-Expected-Instance")
                 status, reply = executor.order(self.path, body, expected)
                 self.answer(status, reply | {"clockMs": executor.clock_ms(),
@@ -232,6 +238,8 @@
 
     def order(self, path, body, expected):
         with self.lock:
+            if not self.alive.is_set():
+                raise ConnectionResetError
             if expected and expected != self.id:
                 return 421, {}
             if body.get("fencingToken", 0) < self.fence:
@@ -323,6 +331,7 @@
     def crash(self):
         """The process ends: what it ran has ended, connections are refused."""
         with self.lock:
+            self.life += 1
             self.alive.clear()
             for run in list(self.running.values()):
                 run.ended_s, run.how = now_s(), "crashed"
