--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,109 +1,72 @@
-"""Three entries, four agents. Each entry has a caller that keeps one
-connection open. The caller sends its second request before the answer to the
-first has come (HTTP/1.1 pipelining); with TROUBLE=0 it waits for the answer.
-Then the platform's readiness calls and jobs of other callers are sent to each
-entry for 12 s."""
-import json
+"""One entry, six agents with their executors of 64 cores. Usual traffic: jobs of
+two tasks of 3 s, five a second. Six bursts of 4 s, in each of them three large
+jobs of 100 tasks of 0.06 s, which need a tenth of a core each second.
+TROUBLE=0 leaves the large jobs out. Nothing is killed, cut, slowed or reset, and
+no executor is ever over a half of its capacity."""
 import os
-import socket
+import random
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import fleet as f
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-WATCH_S = 12
-READY = "/jacinthpick/readiness"
-
-
-def request(method, path, body=None):
-    data = json.dumps(body).encode() if body else b""
-    length = f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n" if body else ""
-    return (f"{method} {path} HTTP/1.1\r\nHost: {f.HOST}\r\n{length}"
-            "Jacinthpick-Request-Deadline: 1500\r\n\r\n").encode() + data
-
-
-def read_answers(conn, count):
-    """Reads whole answers until there are `count` or 2 s have passed."""
-    text = b""
-    end = time.monotonic() + 2
-    conn.settimeout(0.2)
-    while time.monotonic() < end and text.count(b"HTTP/1.1 ") < count:
-        try:
-            data = conn.recv(65536)
-        except TimeoutError:
-            continue
-        except OSError:
-            break
-        if not data:
-            break
-        text += data
-    return [part.split(b"\r\n")[0].decode() for part in text.split(b"HTTP/1.1 ")[1:]]
-
-
-def cpu_s(process):
-    with open(f"/proc/{process.pid}/stat", encoding="ascii") as stat:
-        fields = stat.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def one_caller(fleet, index):
-    """A queue's length, then a job, on one connection."""
-    first = request("GET", "/desk/")
-    second = request("POST", f"/desk/{index + 1:016x}", f.job(60, 2, cpu=6200))
-    with socket.create_connection(fleet.front(index)) as conn:
-        if f.has_trouble():
-            fleet.record(f"caller {index + 1} sends GET /desk/ and POST of a job in one go")
-            conn.sendall(first + second)
-            answers = read_answers(conn, 2)
-        else:
-            fleet.record(f"caller {index + 1} sends GET /desk/, then POST of a job")
-            conn.sendall(first)
-            answers = read_answers(conn, 1)
-            conn.sendall(second)
-            answers += read_answers(conn, 1)
-        fleet.record(f"caller {index + 1} got {len(answers)} of 2 answers: {answers}")
-
-
-def watch(fleet):
-    """Sends readiness calls and jobs to each entry; counts the answers."""
-    served = [[0, 0] for _ in fleet.entries]
-    sent = 0
-    end = f.now_s() + WATCH_S
-    while f.now_s() < end:
-        sent += 1
-        for i, entry in enumerate(fleet.entries):
-            ready = (entry["ipAddress"], f.PORTS["readyAddress"])
-            status = f.call(ready, "GET", READY, timeout=0.25)[0]
-            fleet.record(f"platform gets {status or 'no answer'} from {entry['nodeName']}")
-            served[i][0] += status == 200
-            name = f"/desk/{1000 + 10 * sent + i:016x}"
-            status = f.call(fleet.front(i), "POST", name, f.job(60, 2, cpu=6200), f.HOST,
-                            {"Jacinthpick-Request-Deadline": "1500"}, timeout=0.7)[0]
-            fleet.record(f"another caller gets {status or 'no answer'} from {entry['nodeName']}")
-            served[i][1] += status == 200
-    return sent, served
+BURSTS, BURST_S, PAUSE_S, LARGE_JOBS = 6, 4.0, 2.0, 3
+LARGE_TASKS = 100
+# Runs that overlap by less may be due to the step of the stand-in's clock.
+LEAST_S = 0.01
+
+
+class Load:
+    def __init__(self, fleet):
+        self.fleet, self.count, self.is_over = fleet, 0, False
+        self.lock = threading.Lock()
+        self.answers = {}
+
+    def post(self, kind, body, deadline_ms):
+        with self.lock:
+            self.count += 1
+            name = f"/desk/{self.count:016x}"
+        self.fleet.record(f"client sends POST {name}, {kind}, {body['steps'][0]['count']} tasks")
+        status, _ = f.call(self.fleet.front(0), "POST", name, body, f.HOST,
+                           {"Jacinthpick-Request-Deadline": str(deadline_ms)},
+                           timeout=deadline_ms / 1000)
+        self.fleet.record(f"client gets {status or 'no answer'} for POST {name}")
+        with self.lock:
+            self.answers[kind, status] = self.answers.get((kind, status), 0) + 1
+
+    def send(self, *args):
+        threading.Thread(target=self.post, args=args, daemon=True).start()
+
+    def usual(self):
+        while not self.is_over:
+            self.send("usual", f.job(3000, 2, cpu=6200), 8000)
+            time.sleep(0.2)
 
 
 def main():
-    fleet = f.Fleet(HERE, 3, 4)
+    fleet = f.Fleet(HERE, 1, 6)
     fleet.start_all()
-    for i in range(len(fleet.entries)):
-        one_caller(fleet, i)
-    before = [cpu_s(fleet.processes[e["nodeName"]]) for e in fleet.entries]
-    begun_s = f.now_s()
-    sent, served = watch(fleet)
-    watched_s = f.now_s() - begun_s
-    broken = 0
-    for i, entry in enumerate(fleet.entries):
-        used_s = cpu_s(fleet.processes[entry["nodeName"]]) - before[i]
-        fleet.record(f"{entry['nodeName']}: {served[i][0]} of {sent} readiness calls and "
-                     f"{served[i][1]} of {sent} jobs answered with 200, {used_s:.1f} s of "
-                     f"processor time in {watched_s:.1f} s")
-        # Keeps the processor, and serves nothing.
-        broken += served[i] == [0, 0] and used_s > 0.5 * watched_s
-    fleet.finish(1 if broken else 0)
+    load = Load(fleet)
+    threading.Thread(target=load.usual, daemon=True).start()
+    time.sleep(3)
+    for _ in range(BURSTS):
+        for _ in range(LARGE_JOBS):
+            if f.has_trouble():
+                load.send("large", f.job(60, LARGE_TASKS, cpu=20), 4000)
+            time.sleep(BURST_S / LARGE_JOBS * random.uniform(0.8, 1.2))
+        time.sleep(PAUSE_S)
+    load.is_over = True
+    time.sleep(7)
+    found = f.overlaps(fleet.runs(), LEAST_S)
+    for a, b, seconds in found:
+        fleet.record(f"two runs of {a.task} at the same time: run {a.number} on "
+                     f"{a.executor.name} ({a.how}), run {b.number} on {b.executor.name}, "
+                     f"for {seconds * 1000:.0f} ms")
+    fleet.record(f"answers: {load.answers}")
+    fleet.finish(1 if found else 0)
 
 
 main()
