--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,7 @@
 """One entry, six agents with their executors of 64 cores. Usual traffic: jobs of
-two tasks of 3 s, five a second. Six bursts of 4 s, in each of them three large
-jobs of 100 tasks of 0.06 s, which need a tenth of a core each second.
-TROUBLE=0 leaves the large jobs out. Nothing is killed, cut, slowed or reset, and
-no executor is ever over a half of its capacity."""
+two tasks of 3 s, five a second. Ten bursts of 4 s, in each of them five large
+jobs of 100 tasks, of 0.06 s on 0.02 of a core each. TROUBLE=0 leaves the large
+jobs out. Nothing is killed, cut, slowed or reset."""
 import os
 import random
 import sys
@@ -13,7 +12,7 @@
 import fleet as f
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-BURSTS, BURST_S, PAUSE_S, LARGE_JOBS = 6, 4.0, 2.0, 3
+BURSTS, BURST_S, PAUSE_S, LARGE_JOBS = 10, 4.0, 2.0, 5
 LARGE_TASKS = 100
 # Runs that overlap by less may be due to the step of the stand-in's clock.
 LEAST_S = 0.01
