--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -420,6 +420,9 @@
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="jp-review-")
         self.processes = {}
+        # An error of the script itself says nothing of the rule.
+        sys.excepthook = self.on_error
+        signal.signal(signal.SIGTERM, lambda *_: self.finish(2))
         self.net = self.free_net()
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -453,7 +456,7 @@
                 return net
             except OSError:
                 continue
-        sys.exit(2)
+        raise OSError("no free part of the loopback range")
 
     def machine(self, role, group, index, zone):
         ip = self.ip(group, index + 1)
@@ -527,6 +530,11 @@
                     if any(word in line for word in words):
                         self.record(f"log of {name[:-4]}: {line.strip()}")
 
+    def on_error(self, kind, error, trace):
+        sys.__excepthook__(kind, error, trace)
+        self.record(f"error of the script: {error!r}")
+        self.finish(2)
+
     def finish(self, status):
         for process in self.processes.values():
             with contextlib.suppress(OSError):
