runner: the next instance refuses late starts of ended runs too

Cause: Rni_OnRestart() began the fence anew unless a run was unsettled. A run whose end is listed leaves the table, while a start of it that got no answer may come for 12 s. The new instance, polled under its own small clock as the fence, carried that start out.

Evidence: the agent's log has the listed end of run 1 (51.396) and the restart (52.592, unsettled=0) before the late start (54.09). So the end was one, and the restart was known in time. Right after the late start 20 polls are refused as fenced, until the fence has passed that of the start: the fence was too low.

Change: a fence never decreases, and is raised before the first poll of a new instance. Until when a start may be late is kept for the upstream, not for a run, and an upstream is polled until then, idle or gone.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -257,6 +257,9 @@
                                        answered. */
     uint64_t late_order_until_us; /**< Until then an order without an answer
                                        may still renew the leases. */
+    uint64_t late_start_until_us; /**< Until then a start without an answer may
+                                       still be carried out, if not by this
+                                       instance by the next one. */
     uint64_t refused_us; /**< When a connection to the upstream was refused
                               that nothing has confirmed or refuted since, 0
                               if none was. */
@@ -325,8 +328,9 @@
  * first refusal, and nothing was answered meanwhile, no process listens at the
  * address: the instance has ended with all its runs. One that is leaving may
  * refuse connections while its last runs end; these last until their leases
- * expire. To be called after Rn_OnStarted(), Rn_OnStopped() or Rn_OnPoll() of
- * the same order. */
+ * expire. A run is kept while a start of it may still reach the next instance.
+ * To be called after Rn_OnStarted(), Rn_OnStopped() or Rn_OnPoll() of the same
+ * order. */
 void Rn_OnConnectionRefused(struct runner *runner, struct now now,
                             uint64_t born_ms, uint64_t sent_us,
                             int is_leaving);
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -59,7 +59,8 @@
 
 /* A run whose start is pending is kept, even if it was listed: a new instance
  * may be listening when the start arrives, and its reply shows what became of
- * it. */
+ * it. One of which a start got no answer is kept until the new instance refuses
+ * that, or it is too old to be carried out. */
 static void
 end_crashed(struct runner *runner, struct now now)
 {
@@ -69,6 +70,10 @@
         if (run->start_pending) {
             continue;
         }
+        if (run->start_unanswered && Rni_MayStartLate(runner, now)) {
+            Rni_LeaveUnsettled(runner, run);
+            continue;
+        }
         CTR_INC(runner->counters, runs_crashed);
         Rni_End(runner, now, run, RN_CRASHED, CODE_WORKER_CRASHED);
     }
--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -1,7 +1,7 @@
 /* Ends of runs.
  *
  * RN_END is emitted only when nothing of a run goes on and no order can begin
- * it any more. What shows that, and what it says of the run:
+ * it any more at this instance. What shows that, and what it says of the run:
  *
  *   RN_REFUSED    Each start order was answered by a refusal. It has not
  *                 begun, unless an earlier order got no answer.
@@ -17,16 +17,21 @@
  *                 one, which refuses the fences used until then, does not list
  *                 it. It may have begun.
  *   RN_CRASHED    Two connections were refused, the second begun after the
- *                 first had failed: no process listens at the address. No
- *                 start is on its way. It may have begun.
+ *                 first had failed: no process listens at the address. Each
+ *                 start order was answered. It may have begun.
  *   RN_LAPSED     Its lease has ended by the slowest clock, and no order can
  *                 renew it. It had begun.
  *
  * Nothing else ends a run: not a refusal after an order without an answer, not
- * the silence of the upstream, not its restart, not one refused connection. An
- * instance keeps refusing a run that it has ended; the next one does so from
- * the first poll under a new fence. Before that a run with an order on its way
- * has not ended. */
+ * the silence of the upstream, not its restart, not one refused connection.
+ *
+ * An instance keeps refusing a run that it has ended. The next one knows nothing
+ * of that, and would carry out a start that is still on its way, also one of a
+ * run whose end was listed. It refuses all of them from the first poll under
+ * its new fence, which is higher than any sent before. So an upstream is polled
+ * while a start may be late, whether or not it has runs or is usable, and a run
+ * that ends with an instance, not by its lists, is kept until then. Between the
+ * start of the next instance and that poll nothing can refuse such a start. */
 #include <stdlib.h>
 
 #include "runner_impl.h"
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -314,8 +314,9 @@
 {
     check_clock(runner, now, handle, clock_ms);
     struct rn_run *run = record_reply(runner, now, handle, reply, clock_ms);
-    if (run && reply == RN_NO_ANSWER) {
+    if (reply == RN_NO_ANSWER) {
         Rni_OnReplyLost(runner, now);
+        runner->late_start_until_us = now.us + RN_MAX_ORDER_DELAY_US;
     }
     if (run && run->is_unsettled) {
         run->start_unanswered |= reply == RN_NO_ANSWER;
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -16,6 +16,9 @@
  * occupies its resources until the next poll is answered. */
 #define FAST_POLL_US (2 * US_PER_S)
 #define FAST_POLL_WAIT_MS 25
+/* Interval of polls of an upstream that is not usable, while a start may still
+ * be carried out by its next instance. */
+#define RETURN_POLL_INTERVAL_US (50 * US_PER_MS)
 /* Interval of short polls while the end of a stopped run is awaited. */
 #define SHORT_POLL_INTERVAL_US (20 * US_PER_MS)
 
@@ -52,13 +55,25 @@
     runner->sink.emit(runner->sink.context, &act);
 }
 
+/* Time from the outcome of a poll to the next one. */
+static uint64_t
+poll_interval_us(const struct runner *runner, uint64_t interval_us)
+{
+    return runner->phase == RN_UNKNOWN && !runner->refused_us
+               ? RETURN_POLL_INTERVAL_US
+               : interval_us;
+}
+
 void
 Rni_Poll(struct runner *runner, struct now now)
 {
-    int is_needed = runner->runs.used > 0 || (runner->phase != RN_UNKNOWN &&
-                                              runner->phase != RN_USABLE);
+    int may_start_late = Rni_MayStartLate(runner, now);
+    int is_needed =
+        runner->runs.used > 0 || may_start_late ||
+        (runner->phase != RN_UNKNOWN && runner->phase != RN_USABLE);
     /* A refusal is confirmed or refuted even if the upstream is unusable. */
-    if ((runner->phase == RN_UNKNOWN && !runner->refused_us) ||
+    if ((runner->phase == RN_UNKNOWN && !runner->refused_us &&
+         !may_start_late) ||
         now.us < runner->next_poll_us) {
         return;
     }
@@ -210,7 +225,7 @@
 static void
 on_failure(struct runner *runner, struct now now)
 {
-    runner->next_poll_us = now.us + RETRY_US;
+    runner->next_poll_us = now.us + poll_interval_us(runner, RETRY_US);
     runner->fast_poll_until_us = now.us + FAST_POLL_US;
     if (runner->poll_failures == 0) {
         runner->silent_from_us = now.us;
@@ -284,7 +299,7 @@
             on_listing(runner, now, fence, view);
         }
     }
-    runner->next_poll_us = now.us;
+    runner->next_poll_us = now.us + poll_interval_us(runner, 0);
     if (runner->want_short_poll && runner->long_poll.id) {
         runner->next_poll_us = now.us + SHORT_POLL_INTERVAL_US;
     }
--- a/core/src/runner/restart.c
+++ b/core/src/runner/restart.c
@@ -27,10 +27,10 @@
     return run->is_listed && !run->start_pending && !run->start_unanswered;
 }
 
-/* Leave a run as it is until Rni_Settle(). No stop is ordered: a run that is
- * being stopped is not listed, and would look as if it had ended. */
-static void
-leave_unsettled(struct runner *runner, struct rn_run *run)
+/* No stop is ordered: a run that is being stopped is not listed, and would
+ * look as if it had ended. */
+void
+Rni_LeaveUnsettled(struct runner *runner, struct rn_run *run)
 {
     if (!run->is_unsettled) {
         CTR_INC(runner->counters, runs_unsettled);
@@ -73,13 +73,13 @@
             Rni_End(runner, now, run, RN_RESTARTED, CODE_RUN_LOST);
             continue;
         }
-        leave_unsettled(runner, run);
+        Rni_LeaveUnsettled(runner, run);
         act.unsettled_count++;
     }
     mark_leases_unknown(runner, runner->granted_us);
-    if (act.unsettled_count == 0) {
-        runner->fence = 0;
-    }
+    /* The orders on their way to the earlier instance include starts of runs
+     * that have ended: from its first poll on the new one refuses them all. */
+    runner->fence++;
     runner->born_ms = born_ms;
     forget_instance(runner, now);
     if (act.earlier_born_ms) {
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -149,9 +149,16 @@
         now.us + RN_MAX_ORDER_DELAY_US + runner->lease_us;
 }
 
+int
+Rni_MayStartLate(const struct runner *runner, struct now now)
+{
+    return now.us < runner->late_start_until_us;
+}
+
 /* True if the lease of a run has expired even if the upstream's clock is slow.
  * While an order without an answer may still renew the lease, only a refused
- * connection shows that nothing runs any more. */
+ * connection shows that nothing runs any more, unless that order is a start:
+ * the next instance may carry it out. */
 static int
 is_lease_over(const struct runner *runner, struct now now,
               const struct rn_run *run)
@@ -160,6 +167,9 @@
         runner->process_gone_us <= run->renewed_us) {
         return 0;
     }
+    if (run->start_unanswered && Rni_MayStartLate(runner, now)) {
+        return 0;
+    }
     if (now.us < runner->unknown_lease_until_us + RNI_LEASE_SLACK_US) {
         return 0;
     }
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -54,9 +54,15 @@
  * carried out. */
 void Rni_OnReplyLost(struct runner *runner, struct now now);
 
+/** True if a start order that got no answer may still be carried out. */
+int Rni_MayStartLate(const struct runner *runner, struct now now);
+
 /** Record that the leases of all runs are being renewed now. */
 void Rni_MarkRenewed(struct runner *runner, struct now now);
 
+/** Keep a run until Rni_Settle(). */
+void Rni_LeaveUnsettled(struct runner *runner, struct rn_run *run);
+
 /** Handle a restart of the upstream: forget what was known of its earlier
  * instance, and end the runs that this has listed. A start that was ordered
  * before the restart was known may have been carried out by either instance,
@@ -75,7 +81,7 @@
 int Rni_IsListed(const struct rn_view *view, const struct rn_id *id);
 
 /** Choose the first fence at an instance, or after it was unreachable: one
- * that makes it refuse all earlier orders. */
+ * that makes it refuse all earlier orders, those for earlier instances too. */
 void Rni_TakeFence(struct runner *runner);
 
 /** Handle the refusal of an order or poll because of its fence. If it was the
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -359,6 +359,158 @@
     assert_int_equal(ends, 0);
 }
 
+/* The task of a run whose end was listed is placed elsewhere. Its start, sent
+ * again after a lost answer, would be carried out by the next instance. */
+static void
+a_late_start_of_an_ended_run_is_refused_by_the_next_instance(void **state)
+{
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    announce();
+    run_for(500);
+    lose_starts(1, 2500);
+    start_task(1, 1, 0);
+    run_for(400);
+    assert_int_equal(ends, 1);
+    assert_int_equal(runner.runs.used, 0);
+    run_ms = 5000;
+    restart_upstream(100);
+    Rn_OnAnnounce(&runner, now(), born_ms, upstream_clock_ms());
+    for (int i = 0; i < 4000; i++) {
+        run_for(1);
+        assert_null(find_run(&id));
+    }
+    assert_true(ready);
+}
+
+/* Until it is polled under a new fence, the next instance carries out late
+ * starts, and its first announcement may be long in coming. */
+static void
+a_restart_is_noticed_while_a_start_may_be_late(void **state)
+{
+    (void)state;
+    announce();
+    run_for(500);
+    lose_starts(1, 11000);
+    start_task(1, 1, 0);
+    run_for(8000);
+    assert_int_equal(runner.runs.used, 0);
+    restart_upstream(100);
+    run_for(LEASE_MS / 2);
+    assert_int_equal(runner.born_ms, born_ms);
+    assert_true(fence > 0);
+    assert_true(ready);
+}
+
+/* The same after its crash was noticed, and no process listened. */
+static void
+a_return_is_noticed_while_a_start_may_be_late(void **state)
+{
+    (void)state;
+    announce();
+    run_for(500);
+    lose_starts(1, 11000);
+    start_task(1, 1, 0);
+    run_for(2000);
+    assert_int_equal(runner.runs.used, 0);
+    is_unresponsive = 1;
+    refuse_connections(born_ms, 0);
+    run_for(3000);
+    is_unresponsive = 0;
+    restart_upstream(100);
+    run_for(LEASE_MS / 2);
+    assert_int_equal(runner.born_ms, born_ms);
+    assert_true(ready);
+}
+
+/* Its end is listed before the order times out, so its row is gone by then. */
+static void
+a_start_may_be_late_though_its_run_has_ended(void **state)
+{
+    (void)state;
+    announce();
+    run_for(500);
+    lose_starts(1, 5);
+    start_task(1, 1, 0);
+    run_for(90);
+    assert_int_equal(ends, 1);
+    run_for(1000);
+    restart_upstream(100);
+    run_for(LEASE_MS / 2);
+    assert_int_equal(runner.born_ms, born_ms);
+}
+
+/* Nobody is polled for the sake of starts that were all answered, or that are
+ * too old to be carried out. */
+static void
+an_idle_upstream_is_not_polled_without_a_late_start(void **state)
+{
+    (void)state;
+    announce();
+    start_task(1, 1, 0);
+    run_for(500);
+    uint32_t last_poll = runner.last_poll;
+    run_for(5000);
+    assert_int_equal(runner.last_poll, last_poll);
+    lose_starts(1, 1);
+    start_task(2, 1, 0);
+    run_for(13000);
+    assert_true(runner.last_poll > last_poll);
+    last_poll = runner.last_poll;
+    run_for(5000);
+    assert_int_equal(runner.last_poll, last_poll);
+}
+
+/* The next instance would carry it out beside the run elsewhere. */
+static void
+a_crash_ends_no_run_whose_start_may_be_late(void **state)
+{
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    run_ms = 50000;
+    announce();
+    run_for(500);
+    lose_starts(1, 3000);
+    start_task(1, 1, 0);
+    run_for(400);
+    assert_int_equal(starts, 2);
+    is_unresponsive = 1;
+    memset(runs, 0, sizeof(runs));
+    refuse_connections(born_ms, 0);
+    for (int i = 0; i < 2000; i++) {
+        run_for(1);
+        assert_int_equal(ends, 0);
+    }
+    is_unresponsive = 0;
+    restart_upstream(100);
+    run_for(500);
+    assert_int_equal(ends, 1);
+    for (int i = 0; i < 4000; i++) {
+        run_for(1);
+        assert_null(find_run(&id));
+    }
+}
+
+/* An upstream that is lost for good must not keep its task forever. */
+static void
+a_run_whose_start_may_be_late_ends_once_it_cannot_be(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    announce();
+    run_for(500);
+    lose_starts(1, 30000);
+    start_task(1, 1, 0);
+    run_for(400);
+    is_unresponsive = 1;
+    memset(runs, 0, sizeof(runs));
+    refuse_connections(born_ms, 0);
+    run_for(11000);
+    assert_int_equal(ends, 0);
+    run_for(2500);
+    assert_int_equal(ends, 1);
+}
+
 static void
 restart_agent(void)
 {
@@ -758,6 +910,13 @@
         TEST(a_reply_of_the_known_instance_is_no_restart),
         TEST(a_run_at_a_mute_new_instance_ends_after_its_longest_lease),
         TEST(a_delayed_start_is_not_carried_out_by_a_new_instance),
+        TEST(a_late_start_of_an_ended_run_is_refused_by_the_next_instance),
+        TEST(a_restart_is_noticed_while_a_start_may_be_late),
+        TEST(a_return_is_noticed_while_a_start_may_be_late),
+        TEST(a_start_may_be_late_though_its_run_has_ended),
+        TEST(an_idle_upstream_is_not_polled_without_a_late_start),
+        TEST(a_crash_ends_no_run_whose_start_may_be_late),
+        TEST(a_run_whose_start_may_be_late_ends_once_it_cannot_be),
         TEST(a_listed_run_with_a_pending_start_is_kept_at_a_crash),
         TEST(a_restarted_agent_can_use_a_new_instance_at_once),
         TEST(announcement_of_earlier_instance_is_ignored),
