agent: a heartbeat is a claim, which the claimed instance has to confirm

Cause: another identifier or a later start time in a heartbeat was taken as the next instance of the upstream. Its listed runs ended as RN_RESTARTED, and its own heartbeats were dropped as outdated from then on.

So what has to be checked is not a field but whether the claimed instance is there.

Change: a heartbeat has to have all fields, of their types. The code for heartbeats moves from orders.c to heartbeat.c.

The sample of test_platform lacked two fields and had a label that is a number; it is complete now, and the odd label is among what is rejected.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -71,6 +71,7 @@
     X(tasks_given_up, "tasks given up because upstreams crashed under them")  \
     X(beats_old, "outdated heartbeats received from an upstream")             \
     X(beats_bad, "malformed heartbeats received from an upstream")            \
+    X(beats_foreign, "heartbeats received that are not of the upstream")      \
     X(news_sent, "status messages sent because free slots changed")           \
     X(workers_suspected, "times that a worker was ejected for failures")      \
     X(upstream_errors, "failed calls to the upstream")                        \
--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -230,13 +230,16 @@
     uint64_t max_lease_us; /**< Longest lease that the upstream allows. */
     uint64_t max_stop_us;  /**< Longest time that a stop takes. */
     enum rn_phase phase;
-    uint64_t born_ms;         /**< Start time of the upstream's instance, 0 if
-                                   not known. */
-    uint64_t crashed_born_ms; /**< Start time of the instance whose crash was
-                                   reported last. */
-    uint64_t clock_ms;        /**< The upstream's clock as last received, 0 if
-                                   not known. */
-    uint64_t clock_us;        /**< This process's clock at that time. */
+    uint64_t born_ms;          /**< Start time of the upstream's instance, 0 if
+                                    not known. */
+    uint64_t answered_born_ms; /**< Start time of the instance that answered
+                                    the latest poll, 0 if none has. */
+    uint8_t is_used;           /**< A run was ordered at this instance. */
+    uint64_t crashed_born_ms;  /**< Start time of the instance whose crash was
+                                    reported last. */
+    uint64_t clock_ms;         /**< The upstream's clock as last received, 0 if
+                                    not known. */
+    uint64_t clock_us;         /**< This process's clock at that time. */
     uint64_t fence;           /**< Sent with orders; the upstream rejects those
                                    with a lower fence than it has seen. */
     uint64_t fence_step;      /**< By which it was raised last, 0 once a poll
@@ -296,6 +299,10 @@
 void Rn_OnAnnounce(struct runner *runner, struct now now, uint64_t born_ms,
                    uint64_t clock_ms);
 
+/** Poll the upstream soon, although nothing is known to run there: something
+ * else claims to be in its place. */
+void Rn_Verify(struct runner *runner, struct now now);
+
 /** True if starts may be ordered. */
 int Rn_IsUsable(const struct runner *runner);
 
--- a/core/src/runner/crash.c
+++ b/core/src/runner/crash.c
@@ -59,8 +59,8 @@
 
 /* A run whose start is pending is kept, even if it was listed: a new instance
  * may be listening when the start arrives, and its reply shows what became of
- * it. One of which a start got no answer is kept until the new instance refuses
- * that, or it is too old to be carried out. */
+ * it. One of which a start got no answer is kept until the new instance
+ * refuses that, or it is too old to be carried out. */
 static void
 end_crashed(struct runner *runner, struct now now)
 {
--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -13,9 +13,9 @@
  *                 after the start, or the stop, was acknowledged. A start that
  *                 was acknowledged had begun; a stopped run had not, unless a
  *                 start was acknowledged or it was listed.
- *   RN_RESTARTED  The instance that listed it has been replaced, or the new
- *                 one, which refuses the fences used until then, does not list
- *                 it. It may have begun.
+ *   RN_RESTARTED  Another instance answers at the address of the one that
+ *                 listed it, or one that refuses the fences used until then
+ *                 does not list it. It may have begun.
  *   RN_CRASHED    Two connections were refused, the second begun after the
  *                 first had failed: no process listens at the address. Each
  *                 start order was answered. It may have begun.
@@ -23,15 +23,17 @@
  *                 renew it. It had begun.
  *
  * Nothing else ends a run: not a refusal after an order without an answer, not
- * the silence of the upstream, not its restart, not one refused connection.
+ * the silence of the upstream, not its restart, not one refused connection,
+ * not an announcement, which anything can send.
  *
- * An instance keeps refusing a run that it has ended. The next one knows nothing
- * of that, and would carry out a start that is still on its way, also one of a
- * run whose end was listed. It refuses all of them from the first poll under
- * its new fence, which is higher than any sent before. So an upstream is polled
- * while a start may be late, whether or not it has runs or is usable, and a run
- * that ends with an instance, not by its lists, is kept until then. Between the
- * start of the next instance and that poll nothing can refuse such a start. */
+ * An instance keeps refusing a run that it has ended. The next one knows
+ * nothing of that, and would carry out a start that is still on its way, also
+ * one of a run whose end was listed. It refuses all of them from the first
+ * poll under its new fence, which is higher than any sent before. So an
+ * upstream is polled while a start may be late, whether or not it has runs or
+ * is usable, and a run that ends with an instance, not by its lists, is kept
+ * until then. Between the start of the next instance and that poll nothing can
+ * refuse such a start. */
 #include <stdlib.h>
 
 #include "runner_impl.h"
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -73,6 +73,7 @@
     act.run = Tab_Handle(&runner->runs, run);
     act.id = run->id;
     act.fence = runner->fence;
+    runner->is_used = 1;
     run->sent_fence = runner->fence;
     act.lease_end_ms = Rni_GrantLease(runner, now);
     act.leased_until_us = runner->leased_until_us;
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -282,6 +282,7 @@
     if (view->born_ms && view->born_ms != runner->born_ms) {
         Rni_OnRestart(runner, now, view->born_ms);
     }
+    runner->answered_born_ms = runner->born_ms;
     Rni_SetClock(runner, now, view->clock_ms);
     if (runner->phase == RN_READING_CLOCK) {
         if (runner->clock_ms) {
--- a/core/src/runner/restart.c
+++ b/core/src/runner/restart.c
@@ -52,6 +52,7 @@
     runner->clock_ms = 0;
     runner->poll_failures = 0;
     runner->refused_us = 0;
+    runner->is_used = 0;
     /* Ignore answers of the earlier instance to pending polls. */
     runner->long_poll.id = 0;
     runner->short_poll.id = 0;
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -121,7 +121,8 @@
               uint64_t clock_ms)
 {
     /* A delayed announcement may be from an earlier instance. */
-    if (born_ms < runner->born_ms) {
+    if (born_ms < runner->born_ms &&
+        runner->answered_born_ms == runner->born_ms) {
         return;
     }
     if (runner->leased_until_us == 0) {
@@ -142,6 +143,13 @@
     Rni_Poll(runner, now);
 }
 
+void
+Rn_Verify(struct runner *runner, struct now now)
+{
+    runner->want_short_poll = 1;
+    Rni_Poll(runner, now);
+}
+
 void
 Rni_OnReplyLost(struct runner *runner, struct now now)
 {
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -255,69 +255,6 @@
     }
 }
 
-static int
-is_outdated(const struct orders *orders, const struct pf_heartbeat *heartbeat)
-{
-    const struct pf_heartbeat *known = &orders->heartbeat;
-    return orders->has_heartbeat && (heartbeat->born_ms < known->born_ms ||
-                                     (heartbeat->born_ms == known->born_ms &&
-                                      heartbeat->sequence < known->sequence));
-}
-
-/* True if what a restarted process must know of the upstream, before its next
- * heartbeat, has changed. */
-static int
-has_other_saved_state(const struct ag_announce *a, const struct ag_announce *b)
-{
-    return a->leaving != b->leaving || a->capacity.cpu != b->capacity.cpu ||
-           a->capacity.memory_mb != b->capacity.memory_mb ||
-           a->capacity.gpu != b->capacity.gpu;
-}
-
-/* A heartbeat that is received out of order is acknowledged and dropped. */
-static void
-handle_heartbeat(struct orders *orders, const struct pf_heartbeat *heartbeat)
-{
-    struct now now = Loop_Now();
-    int was_leaving = orders->heartbeat.announcement.leaving;
-    int is_changed = orders->heartbeat.born_ms != heartbeat->born_ms ||
-                     has_other_saved_state(&orders->heartbeat.announcement,
-                                           &heartbeat->announcement);
-    if (is_outdated(orders, heartbeat)) {
-        CTR_INC(orders->counters, beats_old);
-        return;
-    }
-    if (heartbeat->announcement.leaving && !was_leaving) {
-        LOG_INFO("upstream", "Upstream is leaving. id=%s", heartbeat->id);
-    }
-    orders->heartbeat = *heartbeat;
-    orders->has_heartbeat = 1;
-    memcpy(orders->address, heartbeat->address, sizeof(orders->address));
-    Rn_OnAnnounce(&orders->runner, now, heartbeat->born_ms,
-                  heartbeat->clock_ms);
-    if (Rn_IsUsable(&orders->runner) &&
-        heartbeat->born_ms == orders->runner.born_ms) {
-        Ag_OnAnnounce(orders->core, now, &heartbeat->announcement);
-        if (heartbeat->announcement.leaving && !was_leaving) {
-            Ag_BroadcastStatus(orders->core);
-        }
-        if (is_changed) {
-            /* A restarted process must not use an upstream that is leaving,
-             * or more of it than there is. */
-            orders->save_upstream(orders->context);
-        }
-    }
-}
-
-static void
-handle_leave(struct orders *orders, const char *id)
-{
-    if (orders->has_heartbeat && strcmp(id, orders->heartbeat.id) == 0) {
-        LOG_INFO("upstream", "Upstream has left. id=%s", id);
-        Ag_OnUpstreamGone(orders->core, Loop_Now());
-    }
-}
-
 static void
 on_request(void *context, const struct hs_request *request)
 {
@@ -337,10 +274,10 @@
             status = 400;
             break;
         }
-        handle_heartbeat(orders, &heartbeat);
+        status = Hb_Receive(orders, &heartbeat);
         break;
     case PF_LEAVE:
-        handle_leave(orders, id);
+        Hb_Leave(orders, id);
         break;
     case PF_NO_CALL:
         status = 404;
@@ -439,7 +376,7 @@
     LOG_INFO("upstream",
              "Upstream restored from the earlier process. id=%s leaving=%d",
              heartbeat.id, leaving);
-    handle_heartbeat(orders, &heartbeat);
+    Hb_Receive(orders, &heartbeat);
 }
 
 void
@@ -464,4 +401,5 @@
 Orders_OnTick(struct orders *orders, struct now now)
 {
     Rn_OnTick(&orders->runner, now);
+    Hb_OnTick(orders, now);
 }
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -10,6 +10,7 @@
 
 #include "core/agent.h"
 #include "core/runner.h"
+#include "heartbeat.h"
 #include "platform/upstream.h"
 #include "shell/httpc.h"
 #include "shell/httpd.h"
@@ -22,7 +23,10 @@
     struct httpd httpd; /**< Receives the heartbeats. */
     struct httpc http;  /**< Sends the orders. */
     struct runner runner;
-    struct pf_heartbeat heartbeat; /**< The latest; all 0 before the first. */
+    struct pf_heartbeat heartbeat; /**< The upstream's latest; all 0 before the
+                                        first. */
+    uint64_t heartbeat_us;         /**< When it was received. */
+    struct claimant claimant;      /**< What may take the upstream's place. */
     char address[WIRE_ADDR_SIZE];
     int has_heartbeat;   /**< A heartbeat was received or restored. */
     double avg_reply_ms; /**< Moving average of the time to a reply. */
--- a/scenarios/platform.py
+++ b/scenarios/platform.py
@@ -170,6 +170,46 @@
 check("a job runs on the other executor", status == 200, status)
 platform("PUT", "/draining", "false")
 
+# Heartbeats of other writers arrive beside running tasks. A run that they end for its
+# agent goes on at the executor, and its task is started elsewhere.
+
+
+def send_foreign_heartbeats(number):
+    """To agent 3 or 4, whose executor calls itself i-1 or i-3."""
+    own = f"i-{2 * number - 5}"
+    agent = base + 10 * number + 5
+    address = f"127.0.0.1:{base + 10 * number + 8}"
+    body = {"service": "finishing", "address": address, "zone": "erie-shore",
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+            "capacity": {"cpu": 8000, "requestedMemoryMb": 4096, "gpu": 0},
+            "labels": ["a"], "clockMs": 1000, "sequence": 1,
+            "born": int(time.time() * 1000)}
+    nowhere = f"127.0.0.1:{base + 9}"
+    for own_id, change in [("i-other", {"service": "archive", "address": nowhere}),
+                           ("i-other", {"address": nowhere}), ("i-other", {}),
+                           (own, {"service": "archive"}),
+                           (own, {}),
+                           (own, {"born": 1 << 52}),
+                           (own, {"zone": 7}),
+                           (own, {"address": nowhere})]:
+        call(agent, "POST", f"/jacinthpick/Executors.Heartbeat/{own_id}", body | change)
+        time.sleep(0.02)
+
+
+name = "00000000000d0001"
+result = []
+thread = threading.Thread(
+    target=lambda: result.append(submit(CALLERS[0], job(1200, 2, 1000), name)))
+thread.start()
+wait_for("the tasks run", lambda: platform("GET", "/runs")["running"] == 2)
+send_foreign_heartbeats(3)
+send_foreign_heartbeats(4)
+thread.join()
+starts = [s for s in platform("GET", "/runs")["starts"] if s[0].startswith(name)]
+check("heartbeats of other writers end no run", result[0][0] == 200 and len(starts) == 2,
+      (result, starts))
+check("the executors serve on", submit(CALLERS[0], job(50, 4))[0] == 200)
+
 # Jobs run while the table service is unavailable.
 platform("PUT", "/down", "true")
 time.sleep(1)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -246,7 +246,10 @@
 def executor_handler(executor):
     class ExecutorHandler(Handler):
         def do_POST(self):
-            status, body = executor.order(self.path, json.loads(self.body()))
+            order = json.loads(self.body())
+            meant = self.headers.get("Jacinthpick-Expected-Instance")
+            status, body = (executor.order(self.path, order)
+                            if meant in (None, f"i-{executor.number}") else (421, {}))
             self.answer(status, body | {"clockMs": clock_ms(), "born": executor.born})
 
     return ExecutorHandler
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -459,7 +459,7 @@
 }
 
 /* The next starts get no reply, and are carried out after a time. */
-static void
+__attribute__((unused)) static void
 lose_starts(int count, uint64_t delay_ms)
 {
     starts_to_lose = count;
--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -148,13 +148,89 @@
     for (size_t i = 0; i <= sizeof(odd_addresses) / sizeof(odd_addresses[0]);
          i++) {
         snprintf(body, sizeof(body),
-                 "{\"service\":\"s\",\"address\":\"%s\",\"state\":\"ready\","
-                 "\"capacity\":{\"cpu\":1},\"born\":5}",
+                 "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+                 "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+                 "\"coldRemainingMs\":0,\"sequence\":1,"
+                 "\"capacity\":{\"cpu\":1,\"requestedMemoryMb\":1,"
+                 "\"gpu\":0},\"labels\":[],\"born\":5}",
                  i ? odd_addresses[i - 1] : "upstream.example:8080");
         assert_int_equal(Pf_ReadHeartbeat(&heartbeat, text(body), &err), -1);
     }
 }
 
+/* Number of changes that make_odd() knows. */
+#define ODD_CHANGES 4
+
+/* Removes a field, or gives it a value of another type. */
+static void
+make_odd(json_t *object, const char *field, int change)
+{
+    const json_t *value = json_object_get(object, field);
+    switch (change) {
+    case 0:
+        json_object_del(object, field);
+        break;
+    case 1:
+        json_object_set_new(object, field, json_null());
+        break;
+    case 2:
+        json_object_set_new(object, field,
+                            json_is_string(value) ? json_integer(7)
+                                                  : json_string("7"));
+        break;
+    default:
+        json_object_set_new(object, field, json_pack("[n]"));
+        break;
+    }
+}
+
+/* Reads a valid heartbeat with one odd field, a member of the object `field`
+ * if `member` is not NULL. */
+static int
+read_changed(const char *field, const char *member, int change)
+{
+    struct pf_heartbeat heartbeat;
+    struct err err = {0};
+    AUTO_JSON root = json_pack(
+        "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:i,s:i,s:[s],s:{s:i,s:i,s:i}}",
+        "service", "s", "address", "10.1.0.1:8080", "zone", "z", "version",
+        "v1", "slots", 8, "state", "ready", "coldRemainingMs", 0, "clockMs", 5,
+        "sequence", 4, "born", 5, "labels", "a", "capacity", "cpu", 1,
+        "requestedMemoryMb", 1, "gpu", 0);
+    char *body = json_dumps(root, 0);
+    assert_int_equal(Pf_ReadHeartbeat(&heartbeat, text(body), &err), 0);
+    free(body);
+    make_odd(member ? json_object_get(root, field) : root,
+             member ? member : field, change);
+    body = json_dumps(root, 0);
+    int status = Pf_ReadHeartbeat(&heartbeat, text(body), &err);
+    free(body);
+    return status;
+}
+
+/* Each would replace the agent's upstream, or take its place with what the
+ * writer left out as 0 or as empty. */
+static void
+a_heartbeat_with_an_odd_field_names_no_upstream(void **state)
+{
+    static const char *const fields[] = {
+        "service",  "address", "zone",  "version",  "slots", "coldRemainingMs",
+        "sequence", "born",    "state", "capacity", "labels"};
+    static const char *const amounts[] = {"cpu", "requestedMemoryMb", "gpu"};
+    (void)state;
+    for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+        for (int change = 0; change < ODD_CHANGES; change++) {
+            assert_int_equal(read_changed(fields[i], NULL, change), -1);
+        }
+    }
+    for (size_t i = 0; i < sizeof(amounts) / sizeof(amounts[0]); i++) {
+        for (int change = 0; change < ODD_CHANGES; change++) {
+            assert_int_equal(read_changed("capacity", amounts[i], change), -1);
+        }
+    }
+    assert_int_equal(read_changed("machine", NULL, 0), 0);
+}
+
 int
 main(void)
 {
@@ -163,6 +239,7 @@
         cmocka_unit_test(a_capacity_out_of_range_is_not_counted),
         cmocka_unit_test(a_member_at_no_address_is_no_member),
         cmocka_unit_test(a_heartbeat_without_an_address_names_no_upstream),
+        cmocka_unit_test(a_heartbeat_with_an_odd_field_names_no_upstream),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -16,8 +16,9 @@
 
 #define HEARTBEAT                                                             \
     "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","               \
-    "\"zone\":\"z\",\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%s},"  \
-    "\"labels\":[\"a\",7,\"r1-3\"],"                                          \
+    "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","         \
+    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%s,"                         \
+    "\"requestedMemoryMb\":0,\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],"         \
     "\"clockMs\":482113,\"sequence\":4,\"born\":1776540983535}"
 
 static int
