platform: names of any length, and a route that cannot be used leaves the others

Cause: two faults together. Names of the platform were copied into the 32 bytes that messages and tables have for them, and what did not fit was an error, though the platform sets no such bound. And an error in one route rejected the whole configuration.

Evidence: each entry logs "Rejected an invalid operator row: $.name: allowed is a string of up to 31 bytes" after its start, so the row was read. Either fault alone is enough: a route with a prefix that is a number rejects all others too.

Change: Name_Fit() replaces a name that is too long by its beginning and a digest, wherever the platform gives one: routes, services, labels, data centres, nodes. Hosts and prefixes are stored whole. A route that cannot be used is left out and logged.

The same cause elsewhere: an evacuation of a data centre with a long name was ignored, and one of none made an invalid configuration; processes with a long node name did not start; tables with keys over 79 bytes were never read to their end; a key with a NUL made an answer unreadable; long paths, hosts and headers found no route.

--- a/core/include/core/route.h
+++ b/core/include/core/route.h
@@ -9,16 +9,14 @@
 
 #include "wire/msg.h"
 
-/** Bytes for a host name or a path prefix, including the terminating NUL. */
-#define ROUTE_TEXT_SIZE 96
 /** Maximum number of routes in a table. */
 #define ROUTE_MAX 8192
 
 /** A route. `host` and `prefix` select requests; the rest applies to them. */
 struct route {
     char name[WIRE_NAME_SIZE];
-    char host[ROUTE_TEXT_SIZE];   /**< Without port. */
-    char prefix[ROUTE_TEXT_SIZE]; /**< Of the path. */
+    const char *host;   /**< Without port. */
+    const char *prefix; /**< Of the path. */
     char service[WIRE_NAME_SIZE];
     uint32_t timeout_ms;      /**< Deadline of a request that states none. */
     uint32_t target_ms;       /**< Fixed part of the target response time. */
@@ -37,6 +35,7 @@
     uint64_t version; /**< 0 before the first version is applied. */
     uint32_t count;
     struct route *items; /**< Owned. */
+    char *texts;         /**< What their hosts and prefixes point to. Owned. */
     uint32_t max_body;   /**< Maximum size of a request body, in bytes. */
 };
 
--- a/core/src/route.c
+++ b/core/src/route.c
@@ -14,6 +14,7 @@
 Route_Finish(struct route_table *table)
 {
     free(table->items);
+    free(table->texts);
     Route_Init(table);
 }
 
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -147,9 +147,9 @@
 
 /* routes.c */
 
-/** Reads a route table from the value of the routes' row. The caller frees it
- * with Route_Finish(). Returns 0, or -1 with CODE_BAD_FIELD or
- * CODE_NO_MEMORY. */
+/** Reads a route table from the value of the routes' row, without the routes
+ * that are malformed. The caller frees it with Route_Finish(). Returns 0, or
+ * -1 with CODE_BAD_FIELD or CODE_NO_MEMORY. */
 int Routes_Read(struct route_table *table, const json_t *root,
                 struct err *err);
 
--- a/scenarios/platform.py
+++ b/scenarios/platform.py
@@ -151,6 +151,11 @@
 # Configuration changes and an evacuation by the operator.
 config(4, ["/desk/", "/annex/"])
 wait_for("a new route is in force", lambda: call(CALLERS[1], "GET", "/annex/")[0] == 200, 2)
+long_prefix = "/" + "a" * 1000 + "/"
+config(5, ["/desk/", long_prefix])
+wait_for("a route with a long name and prefix is in force",
+         lambda: call(CALLERS[1], "GET", long_prefix)[0] == 200, 2)
+check("it leaves the others in force", submit(CALLERS[0], job())[0] == 200)
 config(9, ["/desk/"])
 wait_for("a removed route is unknown", lambda: call(CALLERS[0], "GET", "/annex/")[0] == 404, 2)
 platform("PUT", "/op/evacuate/erie-shore", {})
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -12,9 +12,10 @@
 /** Default limit of a request's body, in bytes. */
 #define HS_MAX_BODY (16u << 20)
 /** Size of the buffers for a path and for a query string. */
-#define HS_PATH_SIZE 256
-/** Size of the buffer for a header's value. */
-#define HS_HEADER_SIZE 128
+#define HS_PATH_SIZE 2048
+/** Size of the buffer for a header's value. A host name has up to 253 bytes,
+ * and a port may follow. */
+#define HS_HEADER_SIZE 272
 /** Bytes of user data that a handler may attach to a connection. */
 #define HS_USER_SIZE 40
 
--- a/shell/include/shell/store.h
+++ b/shell/include/shell/store.h
@@ -35,14 +35,12 @@
     struct store *store;
     enum pf_table table;
     uint64_t after; /**< All changes up to this version have been delivered. */
-    int is_full_read; /**< The complete table is being read. */
-    int is_busy;      /**< A call is in progress. */
-    uint64_t next_us; /**< Earliest time of the next call. */
-    uint64_t sent_us; /**< When the latest call was sent. */
-    char last_key[WIRE_ADDR_SIZE + WIRE_NAME_SIZE]; /**< Last key read of
-                                                         a full read. */
-    json_t *known_keys;                             /**< Keys of the rows
-                                                         delivered; owned. */
+    int is_full_read;           /**< The complete table is being read. */
+    int is_busy;                /**< A call is in progress. */
+    uint64_t next_us;           /**< Earliest time of the next call. */
+    uint64_t sent_us;           /**< When the latest call was sent. */
+    char last_key[PF_KEY_SIZE]; /**< Last key read of a full read. */
+    json_t *known_keys;         /**< Keys of the rows delivered; owned. */
     json_t *seen_keys; /**< Keys seen by the full read in progress; owned. */
 };
 
--- a/shell/src/follow.c
+++ b/shell/src/follow.c
@@ -45,7 +45,10 @@
     struct err err = {0};
     if (Pf_ApplyOperatorRows(&store->operator_rows, list, &err) < 0) {
         CTR_INC(store->counters, config_corrupt);
-        LOG_ERROR("config", "Rejected an invalid operator row: %s.", err.text);
+        LOG_ERROR("config",
+                  "Operator rows are in force without what is invalid. "
+                  "fault=\"%s\"",
+                  err.text);
     }
     json_t *rows = Pf_WriteOwnRows(&store->operator_rows);
     if (rows) {
--- a/shell/src/loop.c
+++ b/shell/src/loop.c
@@ -10,6 +10,8 @@
 /* Time after which lws gives up waiting for an answer. Its default of 5 s
  * would cut off longer calls; each call has a shorter timeout of its own. */
 #define LWS_TIMEOUT_S 7200
+/* Bytes of all headers of a request. */
+#define MAX_HEADER_BYTES 16384u
 
 static int
 on_timer(struct lws *wsi, enum lws_callback_reasons reason, void *user,
@@ -53,6 +55,7 @@
     info.options =
         LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.pt_serv_buf_size = 32 * 1024;
+    info.max_http_header_data2 = MAX_HEADER_BYTES;
     info.timeout_secs = LWS_TIMEOUT_S;
     loop->lws = lws_create_context(&info);
     if (!loop->lws || create_timer_vhost(loop)) {
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -6,8 +6,15 @@
 #include "base/addr.h"
 #include "base/json.h"
 #include "base/log.h"
+#include "wire/name.h"
 
-enum kind { KIND_WORD, KIND_ADDR, KIND_TEXT, KIND_INT };
+enum kind {
+    KIND_WORD,
+    KIND_NAME, /* A name of any length, in the form of Name_Fit(). */
+    KIND_ADDR,
+    KIND_TEXT,
+    KIND_INT
+};
 
 /* Description of a setting: its offset in struct settings, its allowed values
  * and its default. */
@@ -24,19 +31,21 @@
     const char *help;
 };
 
+/* Longest name, in bytes. */
+#define MAX_NAME 200
+
 #define AT(member) offsetof(struct settings, member)
 
 static const struct spec specs[] = {
     {"role", KIND_WORD, AT(role), 1, WIRE_NAME_SIZE - 1, 0, NULL,
      "entry|agent", "what the process is"},
-    {"node", KIND_WORD, AT(node), 1, WIRE_NAME_SIZE - 1, 0, NULL, NULL,
+    {"node", KIND_NAME, AT(node), 1, MAX_NAME, 0, NULL, NULL,
      "name of the VM, unique in the fleet"},
-    {"region", KIND_WORD, AT(region), 1, WIRE_NAME_SIZE - 1, 0, NULL, NULL,
+    {"region", KIND_NAME, AT(region), 1, MAX_NAME, 0, NULL, NULL,
      "region of the data centre"},
-    {"data_centre", KIND_WORD, AT(data_centre), 1, WIRE_NAME_SIZE - 1, 0, NULL,
-     NULL, "data centre of the VM"},
-    {"rack", KIND_WORD, AT(rack), 0, WIRE_NAME_SIZE - 1, 0, "", NULL,
-     "rack of the VM"},
+    {"data_centre", KIND_NAME, AT(data_centre), 1, MAX_NAME, 0, NULL, NULL,
+     "data centre of the VM"},
+    {"rack", KIND_NAME, AT(rack), 0, MAX_NAME, 0, "", NULL, "rack of the VM"},
     {"listen_http", KIND_ADDR, AT(listen_http), 0, 0, 0, NULL, NULL,
      "address for callers, operators and upstreams"},
     {"listen_internal", KIND_ADDR, AT(listen_internal), 0, 0, 0, NULL, NULL,
@@ -163,7 +172,12 @@
                        "$.%s: found \"%.60s\", allowed is %s", spec->name,
                        text, spec->choices);
     }
-    memcpy(out, text, size + 1);
+    if (spec->kind == KIND_NAME) {
+        Name_Fit(out, text);
+    }
+    else {
+        memcpy(out, text, size + 1);
+    }
     return 0;
 }
 
@@ -291,6 +305,8 @@
     switch (spec->kind) {
     case KIND_INT:
         return sizeof(int64_t);
+    case KIND_NAME:
+        return WIRE_NAME_SIZE;
     case KIND_ADDR:
         return WIRE_ADDR_SIZE;
     default:
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -41,6 +41,7 @@
 static struct counters counters;
 static char listen_addr[32];
 static char handled[MAX_HANDLED][HS_PATH_SIZE];
+static char handled_host[HS_HEADER_SIZE];
 static int handled_count;
 static int answered_count;
 static int probes_answered;
@@ -62,6 +63,7 @@
     else {
         assert_true(handled_count < MAX_HANDLED);
         memcpy(handled[handled_count++], request->path, HS_PATH_SIZE);
+        memcpy(handled_host, request->host, HS_HEADER_SIZE);
     }
     assert_int_equal(
         Hs_ReplyJson(&server, request->conn, 200, "{\"state\":\"queued\"}"),
@@ -199,6 +201,32 @@
     }
 }
 
+/* A request that matches no route because its path or host was cut short is
+ * answered as if there were no such route. */
+static void
+long_paths_and_hosts_are_kept_whole(void **state)
+{
+    char path[2001] = "/";
+    char host[260];
+    char padding[8001];
+    char request[12000];
+    (void)state;
+    memset(path + 1, 'p', 1999);
+    memset(host, 'h', 253);
+    memcpy(host + 253, ":65535", sizeof(":65535"));
+    memset(padding, 'x', 8000);
+    path[2000] = padding[8000] = '\0';
+    snprintf(request, sizeof(request),
+             "GET %s HTTP/1.1\r\nHost: %s\r\nPadding: %s\r\n\r\n", path, host,
+             padding);
+    int fd = open_client();
+    send_text(fd, request);
+    run_until_answered(1);
+    assert_string_equal(handled[0], path);
+    assert_string_equal(handled_host, host);
+    close(fd);
+}
+
 static const enum leave ways_to_leave[] = {CLOSE, RESET};
 #define LEAVE_COUNT (sizeof(ways_to_leave) / sizeof(ways_to_leave[0]))
 
@@ -404,6 +432,7 @@
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
     const struct CMUnitTest tests[] = {
+        TEST(long_paths_and_hosts_are_kept_whole),
         TEST(a_request_of_a_closed_connection_is_not_handled),
         TEST(a_request_in_two_segments_of_a_closed_connection_is_not_handled),
         TEST(a_later_request_of_a_closed_connection_is_not_handled),
