runner: idle polls wait as long as usual after a lost answer

An upstream is polled while a start may be late, also without runs. After a lost answer polls wait 25 ms at most, to see ends soon; without runs there is none to see. In the scenario `platform`, whose stand-in answers late, an agent sent 12 polls a second for that.

--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -26,7 +26,7 @@
 static uint32_t
 long_poll_wait_ms(const struct runner *runner, struct now now)
 {
-    if (now.us < runner->fast_poll_until_us) {
+    if (runner->runs.used > 0 && now.us < runner->fast_poll_until_us) {
         return FAST_POLL_WAIT_MS;
     }
     return (uint32_t)(runner->lease_us / RENEWALS_PER_LEASE / US_PER_MS);
