runner: a lease is that of all runs when one counts as lapsed

Cause: each order with a lease prolongs it for all runs at the upstream, but a start recorded that for its own run only. Polls make up for it within 200 ms, as long as they go on; they end when the upstream counts as unreachable. The other runs were then reported as lapsed before their lease had ended.

Change: a run has lapsed when the latest lease that any order has granted is over. The time of renewal of single runs is gone.

The same cause elsewhere: a late order may have granted the longest lease to a new instance before the poll that fences it off, which counted only with runs left over; and after that poll such orders were forgotten for the next instance.

Tests: a_start_renews_the_leases_of_all_runs and a_late_order_may_grant_the_longest_lease_to_a_new_instance failed before (premature_ends 1). The fake upstream no longer takes the lease of an order that did not reach it.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -192,7 +192,6 @@
                                    acknowledged. */
     uint32_t estimate_ms;     /**< Estimated run time, 0 if not known. */
     uint64_t ordered_us;      /**< When the start was first ordered. */
-    uint64_t renewed_us;      /**< When its lease was last renewed. */
     uint64_t sent_fence;      /**< That of its latest order. */
     uint64_t sent_clock_ms;   /**< The upstream's clock as it was known when
                                    the start was last ordered. */
@@ -260,6 +259,8 @@
                                        answered. */
     uint64_t late_order_until_us; /**< Until then an order without an answer
                                        may still renew the leases. */
+    uint8_t late_orders_are_refused; /**< By this instance, which has seen a
+                                          higher fence. */
     uint64_t late_start_until_us; /**< Until then a start without an answer may
                                        still be carried out, if not by this
                                        instance by the next one. */
@@ -273,9 +274,6 @@
                                       answers are being lost. */
     uint64_t granted_us;      /**< When an order with a lease was last sent. */
     uint64_t leased_until_us; /**< When the latest lease ends at the latest. */
-    uint64_t unknown_lease_until_us; /**< Until then leases may last that were
-                                          computed for the clock of an earlier
-                                          instance. */
     struct tab runs;
     struct rn_run *index;                   /**< `runs` by id. */
     tab_handle unstarted[RN_MAX_UNSTARTED]; /**< Tasks that could not be
--- a/core/src/runner/order.c
+++ b/core/src/runner/order.c
@@ -82,7 +82,6 @@
     run->start_pending = 1;
     run->sent_clock_ms = runner->clock_ms;
     run->tries++;
-    run->renewed_us = now.us;
     runner->sink.emit(runner->sink.context, &act);
 }
 
--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -49,7 +49,6 @@
     act.wait_ms = is_known && runner->poll_failures == 0 ? ms : 0;
     if (is_known) {
         act.lease_end_ms = Rni_GrantLease(runner, now);
-        Rni_MarkRenewed(runner, now);
     }
     act.leased_until_us = runner->leased_until_us;
     runner->sink.emit(runner->sink.context, &act);
@@ -148,7 +147,6 @@
         CTR_INC(runner->counters, runs_unknown);
         run->state = RN_RUNNING;
         run->ordered_us = now.us;
-        run->renewed_us = now.us;
         Rni_BeginStop(runner, now, run, CODE_RUN_LOST);
     }
 }
--- a/core/src/runner/restart.c
+++ b/core/src/runner/restart.c
@@ -13,7 +13,6 @@
     if (granted_us <= runner->process_gone_us) {
         return;
     }
-    runner->unknown_lease_until_us = until_us;
     if (until_us > runner->leased_until_us) {
         runner->leased_until_us = until_us;
     }
@@ -53,6 +52,7 @@
     runner->poll_failures = 0;
     runner->refused_us = 0;
     runner->is_used = 0;
+    runner->late_orders_are_refused = 0;
     /* Ignore answers of the earlier instance to pending polls. */
     runner->long_poll.id = 0;
     runner->short_poll.id = 0;
@@ -109,8 +109,8 @@
             Rni_OrderStop(runner, now, run);
         }
     }
-    if (count) {
+    if (count || now.us < runner->late_order_until_us) {
         mark_leases_unknown(runner, now.us);
     }
-    runner->late_order_until_us = 0;
+    runner->late_orders_are_refused = 1;
 }
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -90,16 +90,6 @@
     return runner->clock_ms + since_us / US_PER_MS;
 }
 
-void
-Rni_MarkRenewed(struct runner *runner, struct now now)
-{
-    uint32_t slot = 0;
-    struct rn_run *run;
-    while ((run = Tab_Next(&runner->runs, &slot))) {
-        run->renewed_us = now.us;
-    }
-}
-
 static void
 emit(struct runner *runner, enum rn_act_type type)
 {
@@ -155,6 +145,7 @@
 {
     runner->late_order_until_us =
         now.us + RN_MAX_ORDER_DELAY_US + runner->lease_us;
+    runner->late_orders_are_refused = 0;
 }
 
 int
@@ -163,28 +154,25 @@
     return now.us < runner->late_start_until_us;
 }
 
-/* True if the lease of a run has expired even if the upstream's clock is slow.
- * While an order without an answer may still renew the lease, only a refused
+/* True if the lease of a run has expired. It holds for all runs there, so it
+ * is the latest one of any order, as computed for a clock that is slow. While
+ * an order without an answer may still renew the lease, only a refused
  * connection shows that nothing runs any more, unless that order is a start:
  * the next instance may carry it out. */
 static int
 is_lease_over(const struct runner *runner, struct now now,
               const struct rn_run *run)
 {
-    if (now.us < runner->late_order_until_us &&
-        runner->process_gone_us <= run->renewed_us) {
+    if (!runner->late_orders_are_refused &&
+        now.us < runner->late_order_until_us &&
+        runner->process_gone_us <= runner->granted_us) {
         return 0;
     }
     if (run->start_unanswered && Rni_MayStartLate(runner, now)) {
         return 0;
     }
-    if (now.us < runner->unknown_lease_until_us + RNI_LEASE_SLACK_US) {
-        return 0;
-    }
-    uint64_t lease_us =
-        runner->lease_us * (100 + RNI_CLOCK_SLACK_PERCENT) / 100;
     return (run->was_running || run->state == RN_STOPPED) &&
-           now.us - run->renewed_us > lease_us + RNI_LEASE_SLACK_US;
+           now.us > runner->leased_until_us + RNI_LEASE_SLACK_US;
 }
 
 static int
--- a/core/src/runner/runner_impl.h
+++ b/core/src/runner/runner_impl.h
@@ -57,9 +57,6 @@
 /** True if a start order that got no answer may still be carried out. */
 int Rni_MayStartLate(const struct runner *runner, struct now now);
 
-/** Record that the leases of all runs are being renewed now. */
-void Rni_MarkRenewed(struct runner *runner, struct now now);
-
 /** Keep a run until Rni_Settle(). */
 void Rni_LeaveUnsettled(struct runner *runner, struct rn_run *run);
 
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -236,6 +236,9 @@
 static enum rn_reply
 execute(const struct rn_act *act)
 {
+    if (act->type == RN_START && start_refusal == RN_UNREACHED) {
+        return RN_UNREACHED;
+    }
     if (act->fence < fence) {
         return RN_FENCED;
     }
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -825,6 +825,66 @@
     assert_int_equal(last_code, CODE_OK);
 }
 
+/* A lease holds for all runs. Taken as that of one run, the others were
+ * reported as lapsed while they ran on, and were started elsewhere. */
+static void
+a_start_renews_the_leases_of_all_runs(void **state)
+{
+    (void)state;
+    run_ms = 50000;
+    for (uint64_t wait_ms = 0; wait_ms < 200; wait_ms += 10) {
+        reset();
+        run_ms = 50000;
+        announce();
+        start_task(1, 1, 0);
+        run_for(300 + wait_ms);
+        start_task(2, 1, 0);
+        run_for(3);
+        /* Nothing renews the leases any more. */
+        start_refusal = RN_UNREACHED;
+        for (uint32_t i = 0; i < 3; i++) {
+            start_task(3 + i, 1, 0);
+        }
+        run_for(5);
+        assert_false(ready);
+        run_for(5000);
+        assert_int_equal(premature_ends, 0);
+        assert_int_equal(ends, 5);
+    }
+}
+
+/* The next instance has another clock, and holds a lease from before for the
+ * longest time that it allows. Here a late poll grants it one just before the
+ * poll that makes it refuse such orders. */
+static void
+a_late_order_may_grant_the_longest_lease_to_a_new_instance(void **state)
+{
+    static struct rn_view view;
+    (void)state;
+    announce();
+    start_task(1, 1, 0);
+    run_for(30);
+    Rn_OnPoll(&runner, now(), runner.long_poll.id, RN_NO_ANSWER, &view);
+    run_for(3000);
+    assert_int_equal(ends, 1);
+    run_ms = 50000;
+    restart_upstream(100);
+    lease_end_ms = upstream_clock_ms() + MAX_LEASE_MS;
+    announce();
+    assert_true(ready);
+    start_task(2, 1, 0);
+    run_for(3);
+    start_refusal = RN_UNREACHED;
+    for (uint32_t i = 0; i < 3; i++) {
+        start_task(3 + i, 1, 0);
+    }
+    run_for(5);
+    assert_false(ready);
+    run_for(5000);
+    assert_int_equal(premature_ends, 0);
+    assert_int_equal(ends, 5);
+}
+
 static void
 no_run_outlives_its_limit_at_a_slow_clock(void **state)
 {
@@ -934,6 +994,8 @@
         TEST(refused_run_number_is_raised),
         TEST(stalled_task_is_stopped),
         TEST(leases_are_renewed_while_task_runs),
+        TEST(a_start_renews_the_leases_of_all_runs),
+        TEST(a_late_order_may_grant_the_longest_lease_to_a_new_instance),
         TEST(no_run_outlives_its_limit_at_a_slow_clock),
         TEST(a_stopped_run_does_not_shorten_the_leases_of_others),
         TEST(an_earlier_process_is_taken_to_have_granted_a_lease),
