--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -233,7 +233,6 @@
                                     not known. */
     uint64_t answered_born_ms; /**< Start time of the instance that answered
                                     the latest poll, 0 if none has. */
-    uint8_t is_used;           /**< A run was ordered at this instance. */
     uint64_t crashed_born_ms;  /**< Start time of the instance whose crash was
                                     reported last. */
     uint64_t clock_ms;         /**< The upstream's clock as last received, 0 if
@@ -249,8 +248,11 @@
     uint32_t last_poll;       /**< Number of the latest poll. */
     struct rn_poll long_poll; /**< Its answer may be delayed until a run
                                    ends. */
-    struct rn_poll short_poll;    /**< It is answered at once. */
-    uint8_t want_short_poll;      /**< A short poll is to be sent. */
+    struct rn_poll short_poll; /**< It is answered at once. */
+    uint8_t want_short_poll;   /**< A short poll is to be sent. */
+    uint8_t is_used;           /**< A run was ordered at this instance. */
+    uint8_t late_orders_are_refused; /**< By this instance, which has seen a
+                                          higher fence. */
     uint32_t poll_failures;       /**< Consecutive polls without an answer. */
     uint64_t silent_from_us;      /**< When the first of them failed. */
     uint32_t unreached_orders;    /**< Consecutive orders that could not be
@@ -259,8 +261,6 @@
                                        answered. */
     uint64_t late_order_until_us; /**< Until then an order without an answer
                                        may still renew the leases. */
-    uint8_t late_orders_are_refused; /**< By this instance, which has seen a
-                                          higher fence. */
     uint64_t late_start_until_us; /**< Until then a start without an answer may
                                        still be carried out, if not by this
                                        instance by the next one. */
