--- a/wire/src/name.c
+++ b/wire/src/name.c
@@ -1,6 +1,7 @@
 #include "wire/name.h"
 
 #include <sodium.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Bytes of the digest, enough that two of the few thousand names of a fleet
@@ -26,13 +27,12 @@
     size_t size = strlen(name);
     memset(out, 0, WIRE_NAME_SIZE);
     if (size < WIRE_NAME_SIZE) {
-        memcpy(out, name, size);
+        snprintf(out, WIRE_NAME_SIZE, "%s", name);
         return;
     }
     crypto_generichash(digest, sizeof(digest), (const unsigned char *)name,
                        size, NULL, 0);
     size = beginning_size(name, WIRE_NAME_SIZE - DIGEST_DIGITS - 2);
-    memcpy(out, name, size);
-    out[size] = '~';
-    sodium_bin2hex(out + size + 1, DIGEST_DIGITS + 1, digest, DIGEST_SIZE);
+    int end = snprintf(out, WIRE_NAME_SIZE, "%.*s~", (int)size, name);
+    sodium_bin2hex(out + end, DIGEST_DIGITS + 1, digest, DIGEST_SIZE);
 }
