agent: orders beyond the connections wait, and end nothing from within a start

Cause: with all 48 connections in use an order failed within the call that emitted it, so that RN_END came from within Rn_Start(), and a hold was freed by the inner and by the outer call. Three such failures disconnected the upstream.

Change: such orders wait in a queue in front of the HTTP client, polls excepted, which have connections of their own. Its callbacks run from the loop alone, so that no caller can be called back from within.

The stand-in's backlog of 5 connections dropped some of 44, and is 128 now.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -69,6 +69,7 @@
     X(crashes_reported, "crashes of upstreams that agents have reported")     \
     X(kinds_confined, "times that a kind of job was confined")                \
     X(tasks_given_up, "tasks given up because upstreams crashed under them")  \
+    X(calls_queued, "calls of the upstream that waited for a connection")     \
     X(beats_old, "outdated heartbeats received from an upstream")             \
     X(beats_bad, "malformed heartbeats received from an upstream")            \
     X(beats_foreign, "heartbeats received that are not of the upstream")      \
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -9,8 +9,10 @@
 #include "shell/registry.h"
 #include "shell/settings.h"
 
-/* Maximum number of concurrent orders. */
-#define MAX_ORDERS 48
+/* Connections to the upstream, and those left for polls, of which two are
+ * pending at a time, and for claimants. */
+#define MAX_CONNECTIONS 48
+#define RESERVED_CONNECTIONS 4
 /* The timeout of an order is this multiple of the average time to a reply,
  * within the bounds below. An order that timed out may still be carried out
  * later. */
@@ -125,10 +127,18 @@
     free(call);
 }
 
+/* An order for an instance that is known to be gone is not sent. */
+static int
+begin_order(void *context)
+{
+    struct order_call *call = context;
+    call->sent_us = Loop_Now().us;
+    return call->born_ms == call->orders->runner.born_ms ? 0 : -1;
+}
+
 static void
 send_order(struct orders *orders, const struct rn_act *act)
 {
-    struct hc_result no_response = {0};
     struct pf_order order;
     struct order_call *call = calloc(1, sizeof(*call));
     if (!call || Pf_WriteOrder(&order, act)) {
@@ -140,7 +150,6 @@
     call->poll = act->poll;
     call->id = act->id;
     call->born_ms = orders->runner.born_ms;
-    call->sent_us = Loop_Now().us;
     struct hc_call http = {
         .addr = orders->address,
         .method = "POST",
@@ -152,10 +161,7 @@
         .done = on_reply,
         .context = call,
     };
-    if (Hc_Call(&orders->http, &http)) {
-        CTR_INC(orders->counters, actions_dropped);
-        on_reply(call, &no_response);
-    }
+    Cq_Add(&orders->queue, &http, act->type == RN_POLL);
     free(order.body);
 }
 
@@ -306,11 +312,13 @@
         return Err_Set(err, CODE_NO_MEMORY,
                        "no memory for the upstream's runs");
     }
-    if (Hc_Init(&orders->http, loop, MAX_ORDERS, err) ||
+    if (Hc_Init(&orders->http, loop, MAX_CONNECTIONS, err) ||
         Hs_Init(&orders->httpd, loop, settings->listen_upstream, NULL, NULL,
                 on_request, NULL, orders, counters, err)) {
         return -1;
     }
+    Cq_Init(&orders->queue, &orders->http, MAX_CONNECTIONS,
+            RESERVED_CONNECTIONS, begin_order, counters);
     /* A heartbeat stays true when its sender no longer waits; an outdated one
      * is recognised by its sequence number. */
     orders->httpd.handle_abandoned = 1;
@@ -321,6 +329,7 @@
 Orders_Finish(struct orders *orders)
 {
     Hs_Finish(&orders->httpd);
+    Cq_Finish(&orders->queue);
     Hc_Finish(&orders->http);
     Rn_Finish(&orders->runner);
 }
@@ -400,6 +409,7 @@
 void
 Orders_OnTick(struct orders *orders, struct now now)
 {
+    Cq_OnTick(&orders->queue);
     Rn_OnTick(&orders->runner, now);
     Hb_OnTick(orders, now);
 }
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -12,6 +12,7 @@
 #include "core/runner.h"
 #include "heartbeat.h"
 #include "platform/upstream.h"
+#include "shell/call_queue.h"
 #include "shell/httpc.h"
 #include "shell/httpd.h"
 
@@ -22,6 +23,7 @@
     struct counters *counters;
     struct httpd httpd; /**< Receives the heartbeats. */
     struct httpc http;  /**< Sends the orders. */
+    struct call_queue queue;
     struct runner runner;
     struct pf_heartbeat heartbeat; /**< The upstream's latest; all 0 before the
                                         first. */
--- a/scenarios/platform.py
+++ b/scenarios/platform.py
@@ -175,6 +175,21 @@
 check("a job runs on the other executor", status == 200, status)
 platform("PUT", "/draining", "false")
 
+# More orders at once than an agent has connections to its upstream.
+def check_large_job(name, where):
+    status = submit(CALLERS[0], job(100, 820, 10), name, 30000)[0]
+    starts = [s for s in platform("GET", "/runs")["starts"] if s[0].startswith(name)]
+    check(f"a job of 820 small tasks completes on {where}", status == 200, status)
+    check(f"its tasks start once each on {where}", len(starts) == 820, len(starts))
+
+
+check_large_job("00000000000e0001", "two agents")
+platform("PUT", "/draining", "true")
+time.sleep(0.3)
+check_large_job("00000000000e0002", "one agent")
+platform("PUT", "/draining", "false")
+time.sleep(0.3)
+
 # Heartbeats of other writers arrive beside running tasks. A run that they end for its
 # agent goes on at the executor, and its task is started elsewhere.
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -255,8 +255,12 @@
     return ExecutorHandler
 
 
+class Server(ThreadingHTTPServer):
+    request_queue_size = 128  # connections of one agent, and some
+
+
 def serve(port, handler):
-    server = ThreadingHTTPServer(("127.0.0.1", port), handler)
+    server = Server(("127.0.0.1", port), handler)
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
 
