runner: a poll of an idle upstream grants no lease

An upstream without runs is polled while a start may be late. Each poll granted a lease, and a start is refused while the lease there ends after the limit of its run. Now a poll grants one only if there are runs.

Test: a_poll_of_an_idle_upstream_grants_no_lease failed before. a_listed_run_with_a_pending_start_is_kept_at_a_crash put a run into the fake upstream without the lease that its start carries, and lived on that of an idle poll; it now sets that lease. What it asserts is unchanged.

--- a/core/src/runner/poll.c
+++ b/core/src/runner/poll.c
@@ -47,7 +47,7 @@
     /* After a failure the leases must be renewed soon, so the upstream is to
      * answer at once. */
     act.wait_ms = is_known && runner->poll_failures == 0 ? ms : 0;
-    if (is_known) {
+    if (is_known && runner->runs.used > 0) {
         act.lease_end_ms = Rni_GrantLease(runner, now);
     }
     act.leased_until_us = runner->leased_until_us;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -350,6 +350,8 @@
     start_task(1, 1, 0);
     run_for(101);
     assert_int_equal(starts, 2);
+    /* As its start order does. */
+    lease_end_ms = upstream_clock_ms() + LEASE_MS;
     add_run(&id);
     fill_view(&view, 0);
     Rn_OnPoll(&runner, now(), runner.long_poll.id, RN_DONE, &view);
@@ -440,6 +442,23 @@
     assert_int_equal(runner.born_ms, born_ms);
 }
 
+/* A lease that nothing needs would keep starts from being accepted. */
+static void
+a_poll_of_an_idle_upstream_grants_no_lease(void **state)
+{
+    (void)state;
+    announce();
+    lose_starts(1, 1);
+    start_task(1, 1, 0);
+    run_for(1000);
+    assert_int_equal(runner.runs.used, 0);
+    uint64_t granted_ms = lease_end_ms;
+    uint32_t last_poll = runner.last_poll;
+    run_for(2000);
+    assert_true(runner.last_poll > last_poll);
+    assert_int_equal(lease_end_ms, granted_ms);
+}
+
 /* Nobody is polled for the sake of starts that were all answered, or that are
  * too old to be carried out. */
 static void
@@ -974,6 +993,7 @@
         TEST(a_restart_is_noticed_while_a_start_may_be_late),
         TEST(a_return_is_noticed_while_a_start_may_be_late),
         TEST(a_start_may_be_late_though_its_run_has_ended),
+        TEST(a_poll_of_an_idle_upstream_grants_no_lease),
         TEST(an_idle_upstream_is_not_polled_without_a_late_start),
         TEST(a_crash_ends_no_run_whose_start_may_be_late),
         TEST(a_run_whose_start_may_be_late_ends_once_it_cannot_be),
