agent: the fence outlives the process

The next process took its fence from the small clock of the new instance, which carried the start out beside the run elsewhere.

Change: the fence is saved in the agent's row, with the upstream, and restored.

Test: a_late_start_of_an_earlier_process_is_refused_by_the_next_instance failed with Rn_Restore() left out.

--- a/core/include/core/runner.h
+++ b/core/include/core/runner.h
@@ -292,6 +292,10 @@
 /** Free the memory that the runner owns, but not `runner` itself. */
 void Rn_Finish(struct runner *runner);
 
+/** Continue after an earlier process that sent orders under fences up to
+ * `fence`. Its starts may be late. */
+void Rn_Restore(struct runner *runner, struct now now, uint64_t fence);
+
 /** Handle an announcement of the upstream. `born_ms` is the start time of its
  * instance in milliseconds since 1970, `clock_ms` its monotonic clock. */
 void Rn_OnAnnounce(struct runner *runner, struct now now, uint64_t born_ms,
--- a/core/src/runner/runner.c
+++ b/core/src/runner/runner.c
@@ -133,6 +133,15 @@
     Rni_Poll(runner, now);
 }
 
+void
+Rn_Restore(struct runner *runner, struct now now, uint64_t fence)
+{
+    if (fence > runner->fence) {
+        runner->fence = fence;
+    }
+    runner->late_start_until_us = now.us + RN_MAX_ORDER_DELAY_US;
+}
+
 void
 Rn_Verify(struct runner *runner, struct now now)
 {
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -19,6 +19,8 @@
 #define TIMEOUT_FACTOR 8
 #define MIN_TIMEOUT_MS 30
 #define MAX_TIMEOUT_MS 150
+/* Largest fence that is restored: JSON numbers are exact up to it. */
+#define MAX_SAVED_FENCE ((json_int_t)1 << 53)
 /* Weight of one reply in the moving average of avg_reply_ms. */
 #define REPLY_WEIGHT 0.1
 
@@ -344,13 +346,14 @@
     for (uint32_t i = 0; i < labels->count; i++) {
         json_array_append_new(names, json_string(labels->names[i]));
     }
-    return json_pack(
-        "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:o}", "id", heartbeat->id,
-        "address", heartbeat->address, "service",
-        heartbeat->announcement.service, "born_ms",
-        (json_int_t)heartbeat->born_ms, "cpu", (json_int_t)all->cpu,
-        "memory_mb", (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu,
-        "leaving", heartbeat->announcement.leaving, "labels", names);
+    return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:I,s:o}", "id",
+                     heartbeat->id, "address", heartbeat->address, "service",
+                     heartbeat->announcement.service, "born_ms",
+                     (json_int_t)heartbeat->born_ms, "cpu",
+                     (json_int_t)all->cpu, "memory_mb",
+                     (json_int_t)all->memory_mb, "gpu", (json_int_t)all->gpu,
+                     "leaving", heartbeat->announcement.leaving, "fence",
+                     (json_int_t)orders->runner.fence, "labels", names);
 }
 
 void
@@ -365,6 +368,10 @@
     struct resources all;
     json_int_t born_ms;
     int leaving = 0;
+    json_int_t fence = json_integer_value(json_object_get(saved, "fence"));
+    if (fence > 0 && fence <= MAX_SAVED_FENCE) {
+        Rn_Restore(&orders->runner, Loop_Now(), (uint64_t)fence);
+    }
     if (orders->has_heartbeat ||
         json_unpack((json_t *)saved, "{s:s,s:s,s:s,s:I,s?b}", "id", &id,
                     "address", &address, "service", &service, "born_ms",
--- a/daemon/orders.h
+++ b/daemon/orders.h
@@ -48,8 +48,8 @@
 void Orders_Finish(struct orders *orders);
 
 /** Returns what the next process of this node has to know about the upstream:
- * id, address, service, start time, capacity and labels. The caller owns the
- * object. */
+ * id, address, service, start time, capacity, labels and the fence of the
+ * orders sent. The caller owns the object. */
 json_t *Orders_SaveUpstream(const struct orders *orders);
 
 /** Restores the upstream from what an earlier process of this node saved. If
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -442,6 +442,44 @@
     assert_int_equal(runner.born_ms, born_ms);
 }
 
+/* Its fence was taken from the long clock of the instance before, and a new
+ * process takes its own from the short one of the next. */
+static void
+a_late_start_of_an_earlier_process_is_refused_by_the_next_instance(
+    void **state)
+{
+    struct rn_id id = {.job = 1, .number = 1};
+    (void)state;
+    run_ms = 5000;
+    announce();
+    run_for(500);
+    lose_starts(1, 3000);
+    start_task(1, 1, 0);
+    run_for(50);
+    uint64_t saved = runner.fence;
+    struct fake_order late = orders[0];
+    for (int i = 0; i < MAX_ORDERS; i++) {
+        late = orders[i].used && orders[i].reply_lost ? orders[i] : late;
+    }
+    Rn_Finish(&runner);
+    assert_int_equal(init_runner(), 0);
+    memset(orders, 0, sizeof(orders));
+    orders[0] = late;
+    orders[0].reply_lost = 2;
+    restart_upstream(100);
+    Rn_Restore(&runner, now(), saved);
+    announce();
+    assert_true(ready);
+    for (int i = 0; i < 4000; i++) {
+        run_for(1);
+        assert_null(find_run(&id));
+    }
+    /* A restart in that time is noticed as well. */
+    restart_upstream(200);
+    run_for(LEASE_MS / 2);
+    assert_int_equal(runner.born_ms, born_ms);
+}
+
 /* A lease that nothing needs would keep starts from being accepted. */
 static void
 a_poll_of_an_idle_upstream_grants_no_lease(void **state)
@@ -993,6 +1031,8 @@
         TEST(a_restart_is_noticed_while_a_start_may_be_late),
         TEST(a_return_is_noticed_while_a_start_may_be_late),
         TEST(a_start_may_be_late_though_its_run_has_ended),
+        TEST(
+            a_late_start_of_an_earlier_process_is_refused_by_the_next_instance),
         TEST(a_poll_of_an_idle_upstream_grants_no_lease),
         TEST(an_idle_upstream_is_not_polled_without_a_late_start),
         TEST(a_crash_ends_no_run_whose_start_may_be_late),
