--- a/tests/net_nodes.h
+++ b/tests/net_nodes.h
@@ -155,7 +155,9 @@
     int filter_arg; /**< For use by `filter`. */
     /** Decides about each start and stop order; NULL answers all. */
     enum net_fate (*fate)(struct net *net);
-    uint32_t late_order_ms; /**< Time until a late order is carried out. */
+    uint32_t late_order_ms;  /**< Time until a late order is carried out. */
+    int late_orders_outlive; /**< They reach the next instance of an upstream
+                                  that restarts. */
     /** Tells which tasks crash the upstream NET_CRASH_MS after their start;
      * NULL for none. */
     int (*is_deadly)(const struct msg_start *start);
--- a/tests/net_upstream.h
+++ b/tests/net_upstream.h
@@ -183,7 +183,10 @@
     node->clock_ms = 0;
     node->clock_ms = clock_ms - net_upstream_clock_ms(node);
     node->fence = node->lease_end_ms = node->last_end = 0;
-    node->ended_count = node->late_count = 0;
+    node->ended_count = 0;
+    if (!net->late_orders_outlive) {
+        node->late_count = 0;
+    }
 }
 
 static void
--- a/tests/test_subset_faults.c
+++ b/tests/test_subset_faults.c
@@ -24,12 +24,24 @@
 static const uint64_t recorded_seeds[RECORDED] = {4,   107, 209, 286,
                                                   354, 541, 607};
 
+/* A day with faults of upstreams on which a task ran twice: the next instance
+ * carried out a late start of a run that had ended. */
+#define LATE_START_SEED 20
+
+/* Faults of upstreams on a day. */
+enum upstream_faults {
+    NO_FAULTS,
+    RESTARTS,    /* They restart, orders get no reply or are carried out late,
+                    but not by the next instance. */
+    LATE_STARTS, /* The same, the next instance carries them out too, and tasks
+                    fail, so that they are started elsewhere. */
+};
+
 /* A day of faults. */
 struct day {
     uint64_t seed;
     uint32_t agent_pause_ms; /* Longest pause of an agent. */
-    int has_upstream_faults; /* Upstreams restart, orders get no reply or are
-                                carried out late. */
+    enum upstream_faults upstream_faults;
 };
 
 /* A caller with one job. */
@@ -51,7 +63,7 @@
 static const struct net_node *cut_agent;
 static uint32_t loss_percent;
 static uint32_t agent_pause_ms;
-static int has_upstream_faults;
+static enum upstream_faults upstream_faults;
 static uint32_t unanswered_percent; /* Of the orders to upstreams. */
 static uint32_t late_percent;
 
@@ -213,6 +225,9 @@
 static void
 inject_upstream_fault(void)
 {
+    if (upstream_faults == LATE_STARTS && draw(2)) {
+        agents[draw(AGENTS)]->end_code = draw(3) ? CODE_OK : CODE_TASK_FAILED;
+    }
     if (draw(2)) {
         restart_upstream();
         return;
@@ -224,7 +239,7 @@
 static void
 inject_fault(void)
 {
-    if (has_upstream_faults && draw(2)) {
+    if (upstream_faults != NO_FAULTS && draw(2)) {
         inject_upstream_fault();
         return;
     }
@@ -275,13 +290,14 @@
 {
     uint64_t seed = day->seed;
     agent_pause_ms = day->agent_pause_ms;
-    has_upstream_faults = day->has_upstream_faults;
+    upstream_faults = day->upstream_faults;
     start_fleet(seed);
+    net.late_orders_outlive = upstream_faults == LATE_STARTS;
     for (int i = 0; i < AGENTS; i++) {
         agents[i]->run_ms = 100 + (int)draw(2400);
     }
     net.filter = lose_some;
-    net.fate = has_upstream_faults ? draw_fate : NULL;
+    net.fate = upstream_faults != NO_FAULTS ? draw_fate : NULL;
     for (uint32_t ms = 0; ms < FAULTS_MS; ms++) {
         if (ms % JOB_INTERVAL_MS == 0) {
             uint32_t i = ms / JOB_INTERVAL_MS;
@@ -295,6 +311,9 @@
     }
     loss_percent = unanswered_percent = late_percent = 0;
     cut_entry = cut_agent = NULL;
+    for (int i = 0; i < AGENTS; i++) {
+        agents[i]->end_code = CODE_OK;
+    }
     for (uint32_t ms = 0; ms < 30000; ms++) {
         step_ms(seed);
     }
@@ -340,14 +359,23 @@
     run_day(*state);
 }
 
+static void
+no_task_runs_twice_though_late_starts_outlive_restarts(void **state)
+{
+    run_day(*state);
+}
+
 /* Each day is a test of its own, so that a run names all that fail. */
 static struct CMUnitTest
 make_test(struct day *day)
 {
     struct CMUnitTest restarts = cmocka_unit_test_prestate_setup_teardown(
         no_task_runs_twice_while_upstreams_restart, NULL, finish, day);
-    if (day->has_upstream_faults) {
-        return restarts;
+    struct CMUnitTest late_starts = cmocka_unit_test_prestate_setup_teardown(
+        no_task_runs_twice_though_late_starts_outlive_restarts, NULL, finish,
+        day);
+    if (day->upstream_faults != NO_FAULTS) {
+        return day->upstream_faults == RESTARTS ? restarts : late_starts;
     }
     struct CMUnitTest short_pauses = cmocka_unit_test_prestate_setup_teardown(
         no_task_runs_twice_at_a_time, NULL, finish, day);
@@ -359,18 +387,17 @@
 /* Add the seeds 1 to `seeds`. Returns the number of days. */
 static uint32_t
 add_days(struct day *days, uint32_t count, uint64_t seeds,
-         uint32_t longest_pause_ms, int with_upstream_faults)
+         uint32_t longest_pause_ms, enum upstream_faults faults)
 {
     for (uint64_t seed = 1; seed <= seeds && count < MAX_TESTS; seed++) {
-        days[count++] =
-            (struct day){seed, longest_pause_ms, with_upstream_faults};
+        days[count++] = (struct day){seed, longest_pause_ms, faults};
     }
     return count;
 }
 
 /* SUBSET_RECORDED recorded days are played first, then the seeds 1 to
- * SUBSET_SEEDS with short pauses, with long ones, and with faults of upstreams
- * too. Unused entries of `tests` are skipped. */
+ * SUBSET_SEEDS with short pauses, with long ones, and with each kind of faults
+ * of upstreams too. Unused entries of `tests` are skipped. */
 int
 main(void)
 {
@@ -380,11 +407,17 @@
     uint64_t recorded = count_from_environment("SUBSET_RECORDED", RECORDED);
     uint64_t others = count_from_environment("SUBSET_SEEDS", SEEDS);
     for (uint64_t i = 0; i < recorded && i < RECORDED; i++) {
-        days[count++] = (struct day){recorded_seeds[i], SHORT_PAUSE_MS, 0};
+        days[count++] =
+            (struct day){recorded_seeds[i], SHORT_PAUSE_MS, NO_FAULTS};
+    }
+    if (recorded >= RECORDED) {
+        days[count++] =
+            (struct day){LATE_START_SEED, LONG_PAUSE_MS, LATE_STARTS};
     }
-    count = add_days(days, count, others, SHORT_PAUSE_MS, 0);
-    count = add_days(days, count, others, LONG_PAUSE_MS, 0);
-    count = add_days(days, count, others, LONG_PAUSE_MS, 1);
+    count = add_days(days, count, others, SHORT_PAUSE_MS, NO_FAULTS);
+    count = add_days(days, count, others, LONG_PAUSE_MS, NO_FAULTS);
+    count = add_days(days, count, others, LONG_PAUSE_MS, RESTARTS);
+    count = add_days(days, count, others, LONG_PAUSE_MS, LATE_STARTS);
     for (uint32_t i = 0; i < count; i++) {
         tests[i] = make_test(&days[i]);
     }
