--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -18,7 +18,8 @@
  *                 does not list it. It may have begun.
  *   RN_CRASHED    Two connections were refused, the second begun after the
  *                 first had failed: no process listens at the address. Each
- *                 start order was answered. It may have begun.
+ *                 start order was answered, or is too old to be carried out.
+ *                 It may have begun.
  *   RN_LAPSED     The latest lease that any order may have granted has ended
  * by the slowest clock, as a lease holds for all runs. No order can renew it,
  * and no start of the run is late. It had begun.
