--- a/core/src/runner/end.c
+++ b/core/src/runner/end.c
@@ -21,8 +21,9 @@
  *                 start order was answered, or is too old to be carried out.
  *                 It may have begun.
  *   RN_LAPSED     The latest lease that any order may have granted has ended
- * by the slowest clock, as a lease holds for all runs. No order can renew it,
- * and no start of the run is late. It had begun.
+ *                 by the slowest clock, as a lease holds for all runs. No
+ *                 order can renew it, and no start of the run is late. It had
+ *                 begun.
  *
  * Nothing else ends a run: not a refusal after an order without an answer, not
  * the silence of the upstream, not its restart, not one refused connection,
