--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -882,6 +882,19 @@
     assert_int_equal(last_code, CODE_OK);
 }
 
+/* Three starts in a row are not sent, so the upstream counts as unreachable,
+ * and nothing renews its leases any more. */
+static void
+make_unreachable(void)
+{
+    start_refusal = RN_UNREACHED;
+    for (uint32_t i = 0; i < 3; i++) {
+        start_task(3 + i, 1, 0);
+    }
+    run_for(5);
+    assert_false(ready);
+}
+
 /* A lease holds for all runs. Taken as that of one run, the others were
  * reported as lapsed while they ran on, and were started elsewhere. */
 static void
@@ -897,13 +910,7 @@
         run_for(300 + wait_ms);
         start_task(2, 1, 0);
         run_for(3);
-        /* Nothing renews the leases any more. */
-        start_refusal = RN_UNREACHED;
-        for (uint32_t i = 0; i < 3; i++) {
-            start_task(3 + i, 1, 0);
-        }
-        run_for(5);
-        assert_false(ready);
+        make_unreachable();
         run_for(5000);
         assert_int_equal(premature_ends, 0);
         assert_int_equal(ends, 5);
@@ -931,12 +938,7 @@
     assert_true(ready);
     start_task(2, 1, 0);
     run_for(3);
-    start_refusal = RN_UNREACHED;
-    for (uint32_t i = 0; i < 3; i++) {
-        start_task(3 + i, 1, 0);
-    }
-    run_for(5);
-    assert_false(ready);
+    make_unreachable();
     run_for(5000);
     assert_int_equal(premature_ends, 0);
     assert_int_equal(ends, 5);
