entry: the speed of a machine against the objective of each job

Cause: an entry took an agent for slow, yes or no, from 170 % of the estimated run time on, over its own last 12 tasks there and for 3 s. Under load it was the reverse: a slow agent was used only if the estimated wait exceeded the additional run time, and that wait is always 0 for restartable jobs, so slow machines with room stayed idle while jobs waited.

Change: core/speed.h keeps the mean of the logarithm of actual over estimated run time, for each worker and for each kind of worker (its labels); a worker without recent tasks is taken to be like its kind. A job with an objective goes first to workers whose speed its slack covers twice, then to those whose speed it just covers, and to slower ones only if there are no others or if it can end in time nowhere. Jobs without an objective are placed as before.

--- a/core/include/core/entry.h
+++ b/core/include/core/entry.h
@@ -17,6 +17,7 @@
 #include "core/job.h"
 #include "core/policy.h"
 #include "core/sched.h"
+#include "core/speed.h"
 #include "wire/msg.h"
 
 /** Number of issuer numbers that an entry uses in turn for its own keys. */
@@ -165,6 +166,7 @@
     uint64_t confined_until_us; /**< Until then suspects are confined, and
                                      kinds may be. */
     struct policy policy;       /**< In force for the service. */
+    struct speed_table speeds;  /**< Of the kinds of workers. */
     UT_hash_handle hh;
 };
 
@@ -223,6 +225,8 @@
     struct resources other_used; /**< By other entries' tasks, as last
                                       reported. */
     struct labels labels;
+    uint64_t kind_id;        /**< Of `labels`, see Speed_KindId(). */
+    struct speed speed;      /**< Of its worker. */
     double slowdown;         /**< Moving average of actual over estimated run
                                   time. */
     uint8_t ejected;         /**< The agent reports that its worker is ejected
--- a/core/src/entry/agent_selection.c
+++ b/core/src/entry/agent_selection.c
@@ -15,6 +15,9 @@
 /* An agent with this many free slots or fewer may be full by now, as reports
  * of its use arrive with a delay. */
 #define LOW_CAPACITY 1
+/* The slack of a job covers the speed of a worker with certainty if it covers
+ * this many times the additional run time, as both are estimates. */
+#define TIGHT_FACTOR 2
 
 /* Free slots of an agent or, for requests, free connections. */
 static uint32_t
@@ -94,6 +97,45 @@
            agent->slowdown * 100 > (double)policy->value[POL_SLOW_PERCENT];
 }
 
+/* Whether an agent is to be avoided for its speed. */
+enum pace {
+    PACE_GOOD,
+    PACE_TIGHT, /* The job's slack just covers it, by uncertain estimates. */
+    PACE_SLOW,
+};
+
+/* Where machines differ, long tasks need the fast ones, while the slack of
+ * short tasks covers a slow one. Once a job can end in time nowhere, all
+ * agents are the same to it. */
+static enum pace
+pace_for_objective(struct now now, const struct ent_peer *agent,
+                   const struct ent_job *job, const struct ent_step *step)
+{
+    double factor = Speed_Factor(&job->service->speeds, &agent->speed,
+                                 agent->kind_id, now);
+    if (factor <= 1 || !Enti_EndsInTime(now, job, 0)) {
+        return PACE_GOOD;
+    }
+    uint64_t extra_us =
+        (uint64_t)((factor - 1) * (double)step->longest_task_us);
+    if (!Enti_EndsInTime(now, job, extra_us)) {
+        return PACE_SLOW;
+    }
+    return Enti_EndsInTime(now, job, TIGHT_FACTOR * extra_us) ? PACE_GOOD
+                                                              : PACE_TIGHT;
+}
+
+static enum pace
+get_pace(const struct entry *entry, struct now now,
+         const struct ent_peer *agent, const struct ent_job *job,
+         const struct ent_step *step)
+{
+    if (job->objective_us) {
+        return pace_for_objective(now, agent, job, step);
+    }
+    return Enti_IsSlow(entry, now, agent) ? PACE_SLOW : PACE_GOOD;
+}
+
 /* Starts that may be sent to an agent beyond its slots, to be held there, so
  * that a slot that becomes free is not idle for a round trip. There are
  * none unless so many tasks wait that the slot is certain to be used, and none
@@ -169,7 +211,7 @@
         !Enti_IsUsable(entry, now, preferred) ||
         !may_run(preferred, job, step) ||
         !Labels_Has(&preferred->labels, step->spec.preferred_label) ||
-        Enti_IsSlow(entry, now, preferred)) {
+        get_pace(entry, now, preferred, job, step) != PACE_GOOD) {
         return NULL;
     }
     return preferred;
@@ -182,6 +224,7 @@
     LOCAL,       /* In this entry's data centre. */
     REMOTE,      /* In another data centre. */
     NEARLY_FULL, /* The same, with LOW_CAPACITY free slots or fewer. */
+    TIGHT,       /* The job's slack just covers the slower worker. */
     ENDANGERED,  /* For confined tasks, while this one is not. */
     SLOW,
     OVERCOMMITTED, /* No free slot, but may hold a start. */
@@ -201,6 +244,39 @@
     return first && Labels_HasAll(&agent->labels, &first->labels);
 }
 
+/* True if an agent that is not too slow for the job could run the step, now or
+ * once it has room. */
+static int
+has_fast_agent(const struct entry *entry, struct now now,
+               const struct ent_job *job, const struct ent_step *step)
+{
+    const struct ent_peer *agent;
+    DL_FOREACH(job->service->agents, agent)
+    {
+        if (Enti_IsUsable(entry, now, agent) && may_run(agent, job, step) &&
+            !Enti_IsBarred(entry, now, job, agent) &&
+            pace_for_objective(now, agent, job, step) != PACE_SLOW) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* True if a task is to be sent to a slow agent with room: it would have to
+ * wait longer for another one. A job with an objective waits as long as it can
+ * still meet it elsewhere. */
+static int
+may_use_slow(struct entry *entry, struct now now, const struct ent_job *job,
+             const struct ent_step *step, const struct ent_peer *agent)
+{
+    if (job->objective_us) {
+        return !has_fast_agent(entry, now, job, step);
+    }
+    return job->flags & SUB_REQUEST || !job->service->fast_slots ||
+           is_slow_agent_faster(job, agent,
+                                Enti_Estimate(entry, now, job).wait_us);
+}
+
 /* Prefers the agent that runs other tasks of the job, then the classes in
  * their order. */
 static struct ent_peer *
@@ -242,8 +318,9 @@
         if (!is_confined && Enti_IsForConfined(now, agent)) {
             index = ENDANGERED;
         }
-        if (Enti_IsSlow(entry, now, agent)) {
-            index = SLOW;
+        enum pace pace = get_pace(entry, now, agent, job, step);
+        if (pace != PACE_GOOD) {
+            index = pace == PACE_TIGHT ? TIGHT : SLOW;
         }
         consider(entry, &candidates[index], agent, capacity, index == LOCAL);
     }
@@ -253,9 +330,7 @@
         }
     }
     agent = candidates[SLOW].agent;
-    if (agent && (job->flags & SUB_REQUEST || !job->service->fast_slots ||
-                  is_slow_agent_faster(
-                      job, agent, Enti_Estimate(entry, now, job).wait_us))) {
+    if (agent && may_use_slow(entry, now, job, step, agent)) {
         return agent;
     }
     return candidates[OVERCOMMITTED].agent;
--- a/core/src/entry/dispatch_order.c
+++ b/core/src/entry/dispatch_order.c
@@ -31,6 +31,13 @@
     return end_us < job->deadline_us ? end_us : job->deadline_us;
 }
 
+int
+Enti_EndsInTime(struct now now, const struct ent_job *job, uint64_t extra_us)
+{
+    return now.us + job->critical_path_us + START_MARGIN_US + extra_us <=
+           end_by(job);
+}
+
 /* Time by which a job has to start in order to end by end_by(); 0 when the
  * time needed exceeds it. */
 static uint64_t
--- a/core/src/entry/peer.c
+++ b/core/src/entry/peer.c
@@ -361,6 +361,7 @@
     peer->connections = status->connections;
     peer->capacity = status->capacity;
     peer->labels = status->labels;
+    peer->kind_id = Speed_KindId(&status->labels);
     Enti_SetOthersUsed(peer, &status->used, &status->receiver_used);
     peer->memory_mb = status->memory_mb;
     peer->cores = status->cores;
--- a/core/src/entry/place.h
+++ b/core/src/entry/place.h
@@ -79,6 +79,12 @@
  * start, later by a fixed amount for each less urgent class. */
 uint64_t Enti_SortKeyByTime(const struct ent_job *job);
 
+/** True if a job whose remaining tasks start now, and run for `extra_us`
+ * longer than estimated, ends by its objective or, if it is late, in time to
+ * be of use. */
+int Enti_EndsInTime(struct now now, const struct ent_job *job,
+                    uint64_t extra_us);
+
 /** Move restartable jobs that can no longer end by their objective to the late
  * lane. Refuse those there whose answer would come too late to be of use. Jobs
  * with a started task are left alone. */
--- a/core/src/entry/runtime_stats.c
+++ b/core/src/entry/runtime_stats.c
@@ -110,6 +110,10 @@
     if (has_samples && estimate_us > 0 &&
         Labels_Has(&agent->labels,
                    job->steps[task->step].spec.preferred_label)) {
+        if (agent->service) {
+            Speed_Learn(&agent->service->speeds, &agent->speed, agent->kind_id,
+                        now, run_us, (uint64_t)estimate_us);
+        }
         double slowdown = run_us / estimate_us;
         slowdown = slowdown < MIN_SLOWDOWN ? MIN_SLOWDOWN : slowdown;
         slowdown = slowdown > MAX_SLOWDOWN ? MAX_SLOWDOWN : slowdown;
