store: a second call beside an unanswered first read

Cause: a process that has just started reads two tables before it serves, one call at a time each, with a time-out of 2 s. When the connection of the first call is silent, while new ones work, the process serves nobody for these 2 s.

Change: a call of a full read without an answer for 400 ms gets a second one on another connection. The first goes on, as the service may only be slow; of the two the first answer counts, and an answer to a call of an earlier step is ignored. The age of the rows is counted from the first call, as before. Weighed: a shorter time-out alone would never end a read of a service that takes longer, and lose a try of one that takes 0.5 s.

Result: tests/test_follow; with the second call set to 60 s its second test fails.

--- a/shell/include/shell/store.h
+++ b/shell/include/shell/store.h
@@ -30,15 +30,29 @@
 
 struct store;
 
+struct store_feed;
+
+/** Calls that a feed may have in progress. */
+#define STORE_FEED_CALLS 2
+
+/** A call of a feed. */
+struct store_feed_call {
+    struct store_feed *feed;
+    uint64_t step; /**< Of the feed when the call was sent. */
+    int is_busy;   /**< The call is in progress. */
+};
+
 /** The change feed of one table. */
 struct store_feed {
     struct store *store;
     enum pf_table table;
     uint64_t after; /**< All changes up to this version have been delivered. */
-    int is_full_read;           /**< The complete table is being read. */
-    int is_busy;                /**< A call is in progress. */
-    uint64_t next_us;           /**< Earliest time of the next call. */
-    uint64_t sent_us;           /**< When the latest call was sent. */
+    int is_full_read; /**< The complete table is being read. */
+    uint64_t step;    /**< Number of answers applied. An answer to a call of an
+                           earlier step is ignored. */
+    struct store_feed_call calls[STORE_FEED_CALLS];
+    uint64_t next_us; /**< Earliest time of the next call. */
+    uint64_t sent_us; /**< When the first call of this step was sent. */
     char last_key[PF_KEY_SIZE]; /**< Last key read of a full read. */
     json_t *known_keys;         /**< Keys of the rows delivered; owned. */
     json_t *seen_keys; /**< Keys seen by the full read in progress; owned. */
--- a/shell/src/follow.c
+++ b/shell/src/follow.c
@@ -11,6 +11,11 @@
 #define LONG_POLL_MS 1500
 /* The call times out this long after LONG_POLL_MS. */
 #define ANSWER_MARGIN_MS 500
+/* Time after which a call of a full read without an answer gets a second one
+ * beside it, on another connection: an answer is usually there within
+ * milliseconds, and a process that has just started serves nobody until it has
+ * the tables. The first call goes on, as the service may only be slow. */
+#define SECOND_CALL_US (400 * US_PER_MS)
 /* Delay after a failed call. The platform charges for refused calls too. */
 #define RETRY_DELAY_US (200 * US_PER_MS)
 /* HTTP status of a call for changes that the service no longer has. */
@@ -155,28 +160,46 @@
     json_object_clear(feed->seen_keys);
 }
 
+/* Returns the number of calls of this step that are in progress. */
+static int
+count_calls(const struct store_feed *feed)
+{
+    int count = 0;
+    for (int i = 0; i < STORE_FEED_CALLS; i++) {
+        count += feed->calls[i].is_busy && feed->calls[i].step == feed->step;
+    }
+    return count;
+}
+
 static void
 on_answer(void *context, const struct hc_result *http)
 {
-    struct store_feed *feed = context;
+    struct store_feed_call *call = context;
+    struct store_feed *feed = call->feed;
     struct store *store = feed->store;
     struct err err = {0};
     struct pf_rows rows;
     struct now now = Loop_Now();
-    feed->is_busy = 0;
+    call->is_busy = 0;
     Store_RecordStatus(store, http->status);
+    if (call->step != feed->step) {
+        return;
+    }
     if (http->status == HTTP_GONE) {
         LOG_WARN("store",
                  "The history of table %d is no longer available: reading "
                  "the complete table.",
                  (int)feed->table);
+        feed->step++;
         begin_full_read(feed);
     }
     else if (http->status != 200 || Pf_ReadRows(&rows, http->body, &err)) {
+        /* A second call of the step may still be answered. */
         feed->next_us = now.us + RETRY_DELAY_US;
         return;
     }
     else {
+        feed->step++;
         apply_answer(feed, &rows);
         json_decref(rows.list);
     }
@@ -188,6 +211,11 @@
 {
     struct store *store = feed->store;
     char path[PF_STORE_PATH_SIZE];
+    struct store_feed_call *own = &feed->calls[0];
+    own = own->is_busy ? &feed->calls[1] : own;
+    if (own->is_busy) {
+        return;
+    }
     if (feed->is_full_read) {
         Pf_TablePath(path, feed->table, feed->last_key);
     }
@@ -200,13 +228,23 @@
         .path = path,
         .timeout_ms = LONG_POLL_MS + ANSWER_MARGIN_MS,
         .done = on_answer,
-        .context = feed,
+        .context = own,
     };
-    feed->is_busy = 1;
-    feed->sent_us = now.us;
+    if (count_calls(feed) == 0) {
+        feed->sent_us = now.us;
+    }
+    else {
+        LOG_WARN("store",
+                 "Call for table %d is unanswered: a second one is sent "
+                 "beside it. waited_ms=%llu",
+                 (int)feed->table,
+                 (unsigned long long)((now.us - feed->sent_us) / US_PER_MS));
+    }
+    own->step = feed->step;
+    own->is_busy = 1;
     CTR_INC(store->counters, store_reads);
     if (Hc_Call(&store->http, &call)) {
-        feed->is_busy = 0;
+        own->is_busy = 0;
         feed->next_us = now.us + RETRY_DELAY_US;
     }
 }
@@ -219,6 +257,9 @@
     for (int i = 0; i < PF_TABLE_COUNT; i++) {
         struct store_feed *feed = &store->feeds[i];
         feed->store = store;
+        for (int j = 0; j < STORE_FEED_CALLS; j++) {
+            feed->calls[j].feed = feed;
+        }
         feed->table = (enum pf_table)i;
         feed->known_keys = json_object();
         feed->seen_keys = json_object();
@@ -227,13 +268,23 @@
     Store_OnTick(store, Loop_Now());
 }
 
+static int
+is_due(const struct store_feed *feed, struct now now)
+{
+    if (!feed->store || now.us < feed->next_us) {
+        return 0;
+    }
+    int calls = count_calls(feed);
+    return calls == 0 || (calls == 1 && feed->is_full_read &&
+                          now.us - feed->sent_us >= SECOND_CALL_US);
+}
+
 void
 Store_OnTick(struct store *store, struct now now)
 {
     for (int i = 0; i < PF_TABLE_COUNT; i++) {
-        struct store_feed *feed = &store->feeds[i];
-        if (feed->store && !feed->is_busy && now.us >= feed->next_us) {
-            send_call(feed, now);
+        if (is_due(&store->feeds[i], now)) {
+            send_call(&store->feeds[i], now);
         }
     }
 }
