entry, ingress: a job refused for lack of memory says what was full

Cause: NO_MEMORY on a caller's job has three sources, a full table of jobs, no memory for the tasks, and no key range of the entry's own; the log told none of them. Seen once: 80 jobs of one entry within 2.5 s, with 1,900 jobs known, not traced.

Change: the lines "Job answered" and "Request refused" name the source in their detail.

--- a/core/src/entry/submit.c
+++ b/core/src/entry/submit.c
@@ -89,6 +89,7 @@
 {
     int is_own = issuer && issuer->state == ENT_ISSUER_OWN;
     struct ent_job *job = Enti_AddJob(entry, &sub->key);
+    const char *fault = job ? "no memory for its tasks" : "job table is full";
     if (!job || Enti_FillJob(job, now, sub)) {
         if (job && job->state == ENT_JOB_REPORTED && !job->task_records) {
             Enti_DropJob(entry, job);
@@ -97,7 +98,7 @@
          * could be accepted: the refusal does not prove that the job has not
          * run. */
         enum code code = is_own && from == 0 ? CODE_NO_MEMORY : CODE_TRY_AGAIN;
-        Enti_Refuse(entry, from, conn, &sub->key, code, NULL);
+        Enti_Refuse(entry, from, conn, &sub->key, code, fault);
         return;
     }
     set_estimates(entry, job, sub);
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -168,6 +168,7 @@
     }
     else {
         code = Ent_IssueKeys(ingress->core, now, 1, &job.sub.key);
+        detail = code == CODE_NO_MEMORY ? "no key range is owned" : "";
     }
     if (code != CODE_OK) {
         refuse(ingress, request, code, detail);
