scenarios: crowds of clients that nobody controls

What operators saw: clients that sent many large bodies of legal size, most stopping just short of their end, ended a process, which ran out of memory.

scenarios/crowd plays fifteen crowds, one at a time, against an entry and an agent on loopback, and checks that the processes live, that their peak memory and their descriptors stay within 64 MB and 400, and that an ordinary request is answered while the crowd is there. The crowds: 300 connections with a body of 262,144 bytes less 100, whole, in pieces, chunked, in ten waves, on each port; 600 idle connections or endless heads; 300 that read no answers; 200 jobs of 820 tasks with 3,900 bytes of text; 20 that send a job behind a request; a third of each around a kill of the entry; and single requests of the largest size.

--- /dev/null
+++ b/scenarios/crowd.py
@@ -0,0 +1,329 @@
+"""Plays one crowd against an entry and an agent, see scenarios/crowd.
+
+Guards against processes that end, hang or outgrow their machine because of
+clients that nobody controls. What is checked does not depend on the speed of
+the machine: the processes live, their peak memory and their descriptors stay
+within what scenarios/crowd gives them, and an ordinary request is answered
+while the crowd is still there.
+
+Usage: crowd.py CASE BASE_PORT DAEMON SETTINGS ENTRY_PID AGENT_PID"""
+import http.client
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import time
+
+# The crowd, and the bounds for each process.
+BODIES = 300  # connections with a body, of MAX_BODY bytes but for the last 100
+IDLE = 600  # connections with an endless head, or with nothing
+FAT_JOBS = 200  # jobs with as much text and as many tasks as a job may have
+PIPELINING = 20  # connections with a request behind another one
+WAVES = 10
+MAX_BODY = 262144  # limits.maxBodyBytes of the configuration
+MEMORY_KB = 64 * 1024
+DESCRIPTORS = 400
+WAVE_GROWTH_KB = 4096  # from the second wave to the last
+PIECE = 4096
+HANG_S = 60
+
+case, base, daemon, settings = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
+pids = {"entry": int(sys.argv[5]), "agent": int(sys.argv[6])}
+CALLERS, READY, OWN = base + 13, base + 14, base + 11
+AGENT_UPSTREAM, AGENT_OWN = base + 25, base + 21
+failures = []
+most_descriptors = {"entry": 0, "agent": 0}
+last_job = [0]
+
+
+def check(name, passed, seen=""):
+    print("ok" if passed else "failed:", name, seen)
+    if not passed:
+        failures.append(name)
+
+
+def memory_kb(pid, field="VmHWM"):
+    with open(f"/proc/{pid}/status") as status:
+        for line in status:
+            if line.startswith(field + ":"):
+                return int(line.split()[1])
+    return 0  # a process that has ended
+
+
+def watch():
+    for role, pid in pids.items():
+        try:
+            count = len(os.listdir(f"/proc/{pid}/fd"))
+        except FileNotFoundError:
+            continue
+        most_descriptors[role] = max(most_descriptors[role], count)
+
+
+def next_path():
+    last_job[0] += 1
+    return f"/desk/{last_job[0]:016x}"
+
+
+def call(port, method, path, body=None, headers=None):
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    conn.request(method, path, body, {
+        "Host": "desk.example", "Content-Type": "application/json",
+        "Jacinthpick-Request-Deadline": "4000", **(headers or {})})
+    reply = conn.getresponse()
+    text = reply.read()
+    conn.close()
+    return reply.status, text
+
+
+def job(tasks=1, text=""):
+    return json.dumps({
+        "specification": json.dumps({"ms": 20, "cpu": 1000, "text": text}),
+        "bestEffort": True, "steps": [{
+            "count": tasks, "cpu": 1000, "requestedMemoryMb": 64, "estimatedMs": 20}]})
+
+
+def is_answered():
+    try:
+        return call(CALLERS, "POST", next_path(), job())[0] == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
+def is_ready():
+    try:
+        return call(READY, "GET", "/jacinthpick/readiness")[0] == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
+def wait_until(condition):
+    """Tries again as a caller would. The limit only ends a test of a process
+    that hangs."""
+    end = time.monotonic() + HANG_S
+    while not condition():
+        watch()
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.5)
+    return True
+
+
+def head(size=None, path=None):
+    length = "Transfer-Encoding: chunked" if size is None else f"Content-Length: {size}"
+    return (f"POST {path or next_path()} HTTP/1.1\r\nHost: desk.example\r\n"
+            f"Content-Type: application/json\r\n{length}\r\n\r\n").encode()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def padded_job(size=MAX_BODY):
+    return job().encode().ljust(size)
+
+
+def open_clients(port, count):
+    clients = []
+    for _ in range(count):
+        client = socket.socket()
+        client.settimeout(10)
+        try:
+            client.connect(("127.0.0.1", port))
+        except OSError:
+            client.close()  # refused, which is allowed
+            continue
+        clients.append(client)
+    watch()
+    return clients
+
+
+def send(client, data):
+    """Returns False when the server has closed the connection, or reads no
+    more from it; both are allowed."""
+    try:
+        client.sendall(data)
+        return True
+    except OSError:
+        return False
+
+
+def send_in_turn(clients, streams):
+    """Sends the pieces of each client's stream, one of each client in turn."""
+    pairs = list(zip(clients, streams))
+    while pairs:
+        pairs = [(client, stream) for client, stream in pairs
+                 if (piece := next(stream, None)) is not None and send(client, piece)]
+        watch()
+
+
+def pieces(data):
+    return (data[i:i + PIECE] for i in range(0, len(data), PIECE))
+
+
+def crowd_whole(port=CALLERS):
+    clients = open_clients(port, BODIES)
+    for client in clients:
+        send(client, head(MAX_BODY) + padded_job()[:-100])
+        watch()
+    return clients
+
+
+def crowd_pieces(port=CALLERS):
+    clients = open_clients(port, BODIES)
+    send_in_turn(clients, [pieces(head(MAX_BODY) + padded_job()[:-100]) for _ in clients])
+    return clients
+
+
+def crowd_chunked(port=CALLERS):
+    def stream():
+        yield head()
+        yield from (chunk(piece) for piece in pieces(padded_job()[:-100]))
+    clients = open_clients(port, BODIES)
+    send_in_turn(clients, [stream() for _ in clients])
+    return clients
+
+
+def crowd_heads():
+    clients = open_clients(CALLERS, IDLE)
+    for client in clients:
+        send(client, head(10)[:-2] + b"Padding: " + b"x" * 8000)
+    watch()
+    return clients
+
+
+def crowd_idle():
+    return open_clients(CALLERS, IDLE)
+
+
+def crowd_unread():
+    """Each asks 200 times, without a pause, and reads no answer."""
+    clients = open_clients(CALLERS, BODIES)
+    ask = b"GET /desk/ HTTP/1.1\r\nHost: desk.example\r\n\r\n" * 200
+    for client in clients:
+        client.settimeout(1)
+        send(client, ask)
+        watch()
+    return clients
+
+
+def crowd_jobs():
+    """Complete jobs that a caller may send, all at once."""
+    clients = open_clients(CALLERS, FAT_JOBS)
+    body = job(tasks=820, text="x" * 3900).encode()
+    for client in clients:
+        send(client, head(len(body)) + body)
+        watch()
+    return clients
+
+
+def crowd_pipelined():
+    """Each sends a second job behind a request, without waiting for the
+    answer to it."""
+    body = job().encode()
+    ask = b"GET /desk/ HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+    clients = open_clients(CALLERS, PIPELINING)
+    for i, client in enumerate(clients):
+        send(client, (ask if i % 2 else head(len(body)) + body) + head(len(body)) + body)
+    watch()
+    return clients
+
+
+def close(clients):
+    for client in clients:
+        client.close()
+
+
+def play_waves():
+    after = []
+    for _ in range(WAVES):
+        clients = crowd_whole()
+        close(clients)
+        check("answered after a wave", wait_until(is_answered))
+        after.append(memory_kb(pids["entry"], "VmRSS"))
+    check("memory does not grow with the waves", after[-1] <= after[1] + WAVE_GROWTH_KB,
+          f"kB after each: {after}")
+    return []
+
+
+def play_restart():
+    """All crowds, a part of each; the entry is killed and started among them."""
+    clients = crowd_whole()[::3] + crowd_idle()[::3]
+    os.kill(pids["entry"], 9)
+    wait_until(lambda: not os.path.exists(f"/proc/{pids['entry']}") or is_zombie(pids["entry"]))
+    pids["entry"] = subprocess.Popen([daemon, settings], stdout=subprocess.DEVNULL).pid
+    most_descriptors["entry"] = 0
+    # Its callers are back before the entry is, and come as soon as it listens.
+    wait_until(lambda: socket.socket().connect_ex(("127.0.0.1", CALLERS)) == 0)
+    return clients + crowd_pieces() + crowd_heads() + crowd_unread() + crowd_whole()
+
+
+def is_zombie(pid):
+    try:
+        with open(f"/proc/{pid}/stat") as stat:
+            return stat.read().rsplit(")", 1)[1].split()[0] == "Z"
+    except FileNotFoundError:
+        return True
+
+
+def play_calm():
+    """Single requests of the largest size, one after the other."""
+    body = padded_job()
+    check("whole body of the limit", call(CALLERS, "POST", next_path(), body)[0] == 200)
+    client = open_clients(CALLERS, 1)[0]
+    send_in_turn([client], [pieces(head(MAX_BODY) + body)])
+    check("body of the limit in pieces", b" 200 " in client.recv(4096)[:20])
+    client = open_clients(CALLERS, 1)[0]
+    send_in_turn([client], [iter([head(), *map(chunk, pieces(body)), b"0\r\n\r\n"])])
+    try:
+        answer = client.recv(4096)[:20]
+    except ConnectionResetError:
+        answer = b"reset"
+    # A server may ask for the length instead of reading chunks.
+    check("chunked body of the limit", b" 200 " in answer or b" 411 " in answer, answer)
+    return [client]
+
+
+CASES = {
+    "calm": play_calm,
+    "whole": crowd_whole,
+    "pieces": crowd_pieces,
+    "chunked": crowd_chunked,
+    "heads": crowd_heads,
+    "idle": crowd_idle,
+    "unread": crowd_unread,
+    "jobs": crowd_jobs,
+    "pipelined": crowd_pipelined,
+    "waves": play_waves,
+    "restart": play_restart,
+    "own-port": lambda: crowd_whole(OWN),
+    "readiness-port": lambda: crowd_whole(READY),
+    "upstream-port": lambda: crowd_whole(AGENT_UPSTREAM),
+    "agent-port": lambda: crowd_whole(AGENT_OWN),
+}
+
+resource.setrlimit(resource.RLIMIT_NOFILE, (4096, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
+call(base, "PUT", "/op/config", json.dumps({
+    "version": 3, "limits": {"maxBodyBytes": MAX_BODY}, "services": [],
+    "routes": [{"name": "desk", "host": "desk.example", "prefix": "/desk/",
+                "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60,
+                "priority": 1, "service": "finishing", "maxAttempts": 3, "stretch": 1.6}]}))
+check("answered before the crowd", wait_until(is_answered))
+clients = CASES[case]()
+check("answered beside the crowd", wait_until(is_answered))
+check("the agent is ready beside the crowd",
+      wait_until(is_ready))
+watch()
+for role, pid in pids.items():
+    alive = os.path.exists(f"/proc/{pid}") and not is_zombie(pid)
+    check(f"{role} lives", alive)
+    if alive:
+        check(f"memory of the {role}", memory_kb(pid) <= MEMORY_KB, f"peak kB: {memory_kb(pid)}")
+    check(f"descriptors of the {role}", most_descriptors[role] <= DESCRIPTORS,
+          f"most: {most_descriptors[role]}")
+close(clients)
+if case == "restart":
+    os.kill(pids["entry"], 9)
+print(len(failures), "faults")
+sys.exit(1 if failures else 0)
