shell: requests read by http-parser, within a budget of memory and connections

Change: connections without TLS are read by http-parser (Debian), and libwebsockets is left the TCP; what follows a request waits until that is answered, up to 64 KB, beyond which nothing is read. The servers of a process share shell/intake: a quarter of the machine's memory for unfinished bodies, and a number of connections by memory and descriptors. Over the first the largest unfinished body is refused (503, "not run", Retry-After; the connection is closed once the answer can have been read), over the second the connection whose client has been silent longest is closed. Requests that are complete are never evicted. A body is freed when its handler returns.

Weighed: closing each connection after its answer, which costs every caller a connection; a lowest rate of bytes, which a client on a slow link may miss; a share for each client address, which a balancer hides.

--- a/base/include/base/code.h
+++ b/base/include/base/code.h
@@ -41,7 +41,7 @@
     X(CANCELLED, 1105, 409, CODE_NOT_RUN, "cancelled before it started")      \
     X(DRAINING, 1106, 503, CODE_NOT_RUN, "process is stopping")               \
     X(NOT_FRESH, 1107, 503, CODE_NOT_RUN, "configuration not known fresh")    \
-    X(NO_MEMORY, 1108, 503, CODE_NOT_RUN, "table full")                       \
+    X(NO_MEMORY, 1108, 503, CODE_NOT_RUN, "table full, or out of memory")     \
     X(NOT_SERVED, 1109, 503, CODE_NOT_RUN, "kind of job not served here")     \
     X(OVERLOADED, 1110, 503, CODE_NOT_RUN, "entry short of processor time")   \
     X(OLD_EPOCH, 1201, 503, CODE_NOT_RUN, "epoch superseded")                 \
--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -10,6 +10,9 @@
 #define COUNTER_TABLE(X)                                                      \
     X(http_requests, "HTTP requests received")                                \
     X(requests_abandoned, "HTTP requests read after their client had left")   \
+    X(bodies_refused, "requests refused because their body took memory")      \
+    X(connections_evicted, "connections closed in favour of newer ones")      \
+    X(connections_refused, "connections closed at once: all others in use")   \
     X(jobs_submitted, "jobs accepted by this entry as owner")                 \
     X(jobs_complete, "jobs answered complete")                                \
     X(jobs_failed, "jobs answered as failed")                                 \
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -327,8 +327,12 @@
         return Err_Set(err, CODE_NO_MEMORY,
                        "no memory for the agent's tables");
     }
-    if (Loop_Init(&daemon->loop, err) ||
-        Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
+    if (Loop_Init(&daemon->loop, err)) {
+        return -1;
+    }
+    Intake_Init(&daemon->loop.intake, (uint64_t)settings->memory_mb,
+                (uint64_t)settings->descriptors);
+    if (Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
                   &header, &daemon->secret, on_message, daemon,
                   &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -330,8 +330,12 @@
     Key_Derive(&daemon->secret, settings->cluster_key);
     Header_Fill(&header, settings, ROLE_ENTRY, incarnation);
     if (start_core(daemon, incarnation, err) ||
-        Loop_Init(&daemon->loop, err) ||
-        Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
+        Loop_Init(&daemon->loop, err)) {
+        return -1;
+    }
+    Intake_Init(&daemon->loop.intake, (uint64_t)settings->memory_mb,
+                (uint64_t)settings->descriptors);
+    if (Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
                   &header, &daemon->secret, on_message, daemon,
                   &daemon->counters, err) ||
         Store_Init(&daemon->store, &daemon->loop, settings->table_service,
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -71,6 +71,9 @@
     hs_sent *sent;
     void *context;
     struct counters *counters;
+    uint32_t refusals; /**< Refused before they were read, since the latest log
+                            line about them. */
+    uint64_t refusal_logged_us; /**< When that line was written. */
 };
 
 /** An answer to a request. */
--- a/shell/include/shell/loop.h
+++ b/shell/include/shell/loop.h
@@ -7,6 +7,7 @@
 
 #include "base/err.h"
 #include "core/clock.h"
+#include "shell/intake.h"
 
 struct loop;
 
@@ -20,6 +21,7 @@
     loop_flush *flush;
     void *flush_context;
     int stopping;
+    struct intake intake; /**< Shared by the HTTP servers of the process. */
 };
 
 /** Initialise the loop. Error: CODE_SYSTEM. */
--- a/shell/include/shell/settings.h
+++ b/shell/include/shell/settings.h
@@ -46,6 +46,8 @@
     int64_t job_capacity;
     int64_t task_capacity;
     int64_t member_capacity;
+    int64_t memory_mb;
+    int64_t descriptors;
     int64_t stop_limit_s;
     int64_t forget_member_s;
 };
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -8,6 +8,7 @@
 
 #include "base/addr.h"
 #include "base/log.h"
+#include "httpd_impl.h"
 
 #define MAX_CONNS 20000
 /* Set in each connection's identifier. It distinguishes connections from the
@@ -16,36 +17,10 @@
 /* Bits of a connection's identifier that hold the server's. */
 #define SERVER_ID_SHIFT 60
 #define SERVER_ID_MASK (7ull << SERVER_ID_SHIFT)
-/* Longest body, in bytes, that is sent in one write with the headers: a few
- * times the usual answer. */
-#define MAX_INLINE_BODY 512
-#define MAX_HEADER_SIZE 1024
-
-/* A connection with a request in progress. */
-struct conn {
-    struct tab_row row;
-    struct lws *wsi;
-    struct hs_request request;
-    unsigned char *body;
-    size_t body_size;
-    size_t body_capacity;
-    unsigned char *reply; /* LWS_PRE bytes, then the body. */
-    size_t reply_size;
-    int status;
-    char type[48];
-    uint32_t retry_after_s;
-    int headers_sent;
-    int too_large;
-    int has_left;         /* httpd.closed has been called. */
-    uint64_t received_us; /* When the request's headers arrived. */
-    unsigned char user[HS_USER_SIZE];
-};
-
-/* Data that lws keeps for each connection. `conn` is 0 when no request is in
- * progress. */
-struct session {
-    tab_handle conn;
-};
+/* Retry-After of a request that was refused for lack of memory. */
+#define RETRY_AFTER_S 1
+/* Shortest time between two log lines about refused requests. */
+#define LOG_INTERVAL_US US_PER_S
 
 int
 Hs_OwnsConn(const struct httpd *httpd, conn_id id)
@@ -63,93 +38,147 @@
 }
 
 static void
-reset_conn(struct conn *conn)
+free_body(struct httpd *httpd, struct conn *conn)
 {
     free(conn->body);
-    free(conn->reply);
     conn->body = NULL;
-    conn->reply = NULL;
     conn->body_size = 0;
     conn->body_capacity = 0;
+    if (conn->item) {
+        Intake_Release(&httpd->loop->intake, conn->item);
+    }
 }
 
-static void
-drop_conn(struct httpd *httpd, struct session *session)
+struct conn *
+Hsi_Begin(struct httpd *httpd, struct lws *wsi)
+{
+    struct conn *conn = Tab_Add(&httpd->conns);
+    if (!conn) {
+        return NULL;
+    }
+    CTR_INC(httpd->counters, http_requests);
+    conn->wsi = wsi;
+    conn->httpd = httpd;
+    conn->received_us = Loop_Now().us;
+    conn->request.conn = Tab_Handle(&httpd->conns, conn) | CONN_BIT |
+                         (uint64_t)httpd->server_id << SERVER_ID_SHIFT;
+    return conn;
+}
+
+void
+Hsi_Drop(struct httpd *httpd, tab_handle *handle)
 {
-    struct conn *conn = Tab_Get(&httpd->conns, session->conn);
+    struct conn *conn = Tab_Get(&httpd->conns, *handle);
     if (conn) {
-        reset_conn(conn);
+        free_body(httpd, conn);
+        free(conn->reply);
+        if (conn->item == &conn->own) {
+            Intake_Remove(&httpd->loop->intake, conn->item);
+        }
         Tab_Remove(&httpd->conns, conn);
     }
-    session->conn = 0;
+    *handle = 0;
+}
+
+/* Logs at most one line per LOG_INTERVAL_US, as a crowd may cause many. */
+static void
+log_refusal(struct httpd *httpd, const struct conn *conn, enum code code)
+{
+    const struct intake *intake = &httpd->loop->intake;
+    httpd->refusals++;
+    if (conn->received_us - httpd->refusal_logged_us < LOG_INTERVAL_US) {
+        return;
+    }
+    httpd->refusal_logged_us = conn->received_us;
+    LOG_WARN("http",
+             "Requests refused before they were read. code=%s count=%u "
+             "path=%.64s body_bytes=%zu intake_bytes=%llu connections=%u",
+             Code_Name(code), httpd->refusals, conn->request.path,
+             conn->body_size, (unsigned long long)intake->bytes,
+             intake->items);
+    httpd->refusals = 0;
 }
 
-static enum hs_method
-read_path(struct lws *wsi, struct hs_request *request)
+void
+Hsi_Refuse(struct httpd *httpd, struct conn *conn, enum code code)
 {
-    static const struct {
-        enum lws_token_indexes token;
-        enum hs_method method;
-    } methods[] = {
-        {WSI_TOKEN_GET_URI, HS_GET},
-        {WSI_TOKEN_POST_URI, HS_POST},
-        {WSI_TOKEN_PUT_URI, HS_PUT},
-        {WSI_TOKEN_DELETE_URI, HS_DELETE},
+    char body[96];
+    if (conn->is_refused) {
+        return;
+    }
+    log_refusal(httpd, conn, code);
+    Ctr_CountCode(httpd->counters, code);
+    conn->is_refused = 1;
+    free_body(httpd, conn);
+    int size = snprintf(body, sizeof(body),
+                        "{\"code\":%d,\"name\":\"%s\",\"run\":\"not run\"}",
+                        (int)code, Code_Name(code));
+    struct hs_reply reply = {
+        .status = Code_HttpStatus(code),
+        .type = "application/json",
+        .body = {body, (uint32_t)size},
+        .retry_after_s = Code_HttpStatus(code) == 503 ? RETRY_AFTER_S : 0,
     };
-    for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++) {
-        if (lws_hdr_copy(wsi, request->path, sizeof(request->path),
-                         methods[i].token) > 0) {
-            return methods[i].method;
-        }
+    Hs_Reply(httpd, conn->request.conn, &reply);
+}
+
+void
+Hsi_SetLength(struct httpd *httpd, struct conn *conn, uint64_t size)
+{
+    if (size > httpd->max_body) {
+        Hsi_Refuse(httpd, conn, CODE_BODY_TOO_LARGE);
+        return;
     }
-    return HS_OTHER;
+    conn->body_declared = (size_t)size;
 }
 
-static void
-read_headers(const struct httpd *httpd, struct lws *wsi,
-             struct hs_request *request)
+/* Returns -1 if there is no memory for a body of `size` bytes. */
+static int
+grow_body(struct httpd *httpd, struct conn *conn, size_t size)
 {
-    static const char name[] = "idempotency-key:";
-    char auth[HS_HEADER_SIZE + 8];
-    request->method = read_path(wsi, request);
-    if (lws_hdr_copy(wsi, request->query, sizeof(request->query),
-                     WSI_TOKEN_HTTP_URI_ARGS) <= 0) {
-        request->query[0] = '\0';
-    }
-    if (lws_hdr_custom_copy(wsi, request->key, sizeof(request->key), name,
-                            sizeof(name) - 1) <= 0) {
-        request->key[0] = '\0';
-    }
-    if (lws_hdr_copy(wsi, request->host, sizeof(request->host),
-                     WSI_TOKEN_HOST) <= 0) {
-        request->host[0] = '\0';
-    }
-    if (!httpd->extra_name ||
-        lws_hdr_custom_copy(wsi, request->extra_value,
-                            sizeof(request->extra_value), httpd->extra_name,
-                            (int)strlen(httpd->extra_name)) <= 0) {
-        request->extra_value[0] = '\0';
-    }
-    if (lws_hdr_copy(wsi, auth, sizeof(auth), WSI_TOKEN_HTTP_AUTHORIZATION) >
-            7 &&
-        strncasecmp(auth, "Bearer ", 7) == 0) {
-        snprintf(request->token, sizeof(request->token), "%.*s",
-                 HS_HEADER_SIZE - 1, auth + 7);
+    size_t capacity = 2 * size;
+    if (conn->body_declared >= size && conn->body_declared < capacity) {
+        capacity = conn->body_declared;
+    }
+    if (conn->item && Intake_Reserve(&httpd->loop->intake, conn->item,
+                                     capacity - conn->body_capacity)) {
+        return -1;
     }
+    unsigned char *body = realloc(conn->body, capacity);
+    if (!body) {
+        return -1;
+    }
+    conn->body = body;
+    conn->body_capacity = capacity;
+    return 0;
 }
 
-/* Returns 0 when the header is missing, -1 when it is invalid. */
-static long
-content_length(struct lws *wsi)
+void
+Hsi_AddBody(struct httpd *httpd, struct conn *conn, const void *data,
+            size_t size)
 {
-    char text[24];
-    if (lws_hdr_copy(wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) <=
-        0) {
-        return 0;
+    if (conn->is_refused || size == 0) {
+        return;
+    }
+    size_t needed = conn->body_size + size;
+    if (needed > httpd->max_body) {
+        Hsi_Refuse(httpd, conn, CODE_BODY_TOO_LARGE);
+        return;
     }
-    char *end;
-    long size = strtol(text, &end, 10);
-    return *end || size < 0 ? -1 : size;
+    if (needed > conn->body_capacity && grow_body(httpd, conn, needed)) {
+        CTR_INC(httpd->counters, bodies_refused);
+        Hsi_Refuse(httpd, conn, CODE_NO_MEMORY);
+        return;
+    }
+    memcpy(conn->body + conn->body_size, data, size);
+    conn->body_size = needed;
+}
+
+void
+Hsi_EvictConn(struct conn *conn)
+{
+    CTR_INC(conn->httpd->counters, bodies_refused);
+    Hsi_Refuse(conn->httpd, conn, CODE_NO_MEMORY);
 }
 
 /* Returns 1 if the client has closed or reset its connection. What it sent
@@ -171,11 +200,13 @@
     return network.revents != 0;
 }
 
-/* Calls the handler. Returns -1 if the connection is to be closed instead,
- * because the client has left: it has sent its request elsewhere by now. */
-static int
-dispatch(struct httpd *httpd, struct session *session, struct conn *conn)
+int
+Hsi_Dispatch(struct httpd *httpd, tab_handle *handle)
 {
+    struct conn *conn = Tab_Get(&httpd->conns, *handle);
+    if (conn->item) {
+        Intake_SetWaiting(&httpd->loop->intake, conn->item, 0);
+    }
     if (has_client_left(conn->wsi)) {
         CTR_INC(httpd->counters, requests_abandoned);
         LOG_INFO("http",
@@ -184,208 +215,48 @@
                  httpd->handle_abandoned ? "handled" : "dropped",
                  conn->request.path);
         if (!httpd->handle_abandoned) {
-            drop_conn(httpd, session);
+            Hsi_Drop(httpd, handle);
             return -1;
         }
     }
-    if (conn->too_large) {
-        Hs_ReplyJson(httpd, conn->request.conn, 413,
-                     "{\"code\":1004,\"name\":\"BODY_TOO_LARGE\","
-                     "\"run\":\"not run\"}");
+    if (conn->is_refused) {
         return 0;
     }
     conn->request.body.data = conn->body;
     conn->request.body.size = (uint32_t)conn->body_size;
     httpd->handler(httpd->context, &conn->request);
-    return 0;
-}
-
-static int
-on_request(struct httpd *httpd, struct lws *wsi, struct session *session)
-{
-    drop_conn(httpd, session);
-    struct conn *conn = Tab_Add(&httpd->conns);
-    if (!conn) {
-        return -1;
-    }
-    CTR_INC(httpd->counters, http_requests);
-    session->conn = Tab_Handle(&httpd->conns, conn);
-    conn->wsi = wsi;
-    conn->received_us = Loop_Now().us;
-    conn->request.conn = session->conn | CONN_BIT |
-                         (uint64_t)httpd->server_id << SERVER_ID_SHIFT;
-    read_headers(httpd, wsi, &conn->request);
-    lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-    long size = content_length(wsi);
-    if (size < 0 || size > (long)httpd->max_body) {
-        conn->too_large = 1;
-        return dispatch(httpd, session, conn);
-    }
-    return size == 0 ? dispatch(httpd, session, conn) : 0;
-}
-
-static int
-on_body(struct httpd *httpd, struct session *session, const void *data,
-        size_t size)
-{
-    struct conn *conn = Tab_Get(&httpd->conns, session->conn);
-    if (!conn || conn->too_large) {
-        return 0;
-    }
-    if (conn->body_size + size > httpd->max_body) {
-        conn->too_large = 1;
-        return 0;
-    }
-    if (conn->body_size + size > conn->body_capacity) {
-        size_t capacity = 2 * (conn->body_size + size);
-        unsigned char *body = realloc(conn->body, capacity);
-        if (!body) {
-            return -1;
-        }
-        conn->body = body;
-        conn->body_capacity = capacity;
+    /* The handler has copied what it needs, and its answer may take long. */
+    conn = Tab_Get(&httpd->conns, *handle);
+    if (conn) {
+        free_body(httpd, conn);
     }
-    memcpy(conn->body + conn->body_size, data, size);
-    conn->body_size += size;
     return 0;
 }
 
-/* Returns the end of the headers, NULL when they exceed the buffer. */
-static unsigned char *
-write_headers(struct lws *wsi, const struct conn *conn, unsigned char *start,
-              unsigned char *end)
-{
-    unsigned char *p = start;
-    char retry[16];
-    if (lws_add_http_common_headers(wsi, (unsigned int)conn->status,
-                                    conn->type, conn->reply_size, &p, end)) {
-        return NULL;
-    }
-    if (conn->retry_after_s) {
-        int size = snprintf(retry, sizeof(retry), "%u", conn->retry_after_s);
-        if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_RETRY_AFTER,
-                                         (unsigned char *)retry, size, &p,
-                                         end)) {
-            return NULL;
-        }
-    }
-    return lws_finalize_http_header(wsi, &p, end) ? NULL : p;
-}
-
-/* Returns 1 for a stream of HTTP/2, which sends the headers in a frame of
- * their own. */
-static int
-is_http2_stream(struct lws *wsi)
-{
-    return lws_get_network_wsi(wsi) != wsi;
-}
-
-/* Sends a short body with the headers: one write makes one packet and does not
- * wait for the next iteration of the loop. */
-static int
-send_headers(struct lws *wsi, struct conn *conn)
+void
+Hsi_NotifyClosed(struct httpd *httpd, tab_handle handle)
 {
-    unsigned char buffer[LWS_PRE + MAX_HEADER_SIZE + MAX_INLINE_BODY];
-    unsigned char *start = buffer + LWS_PRE;
-    unsigned char *end =
-        write_headers(wsi, conn, start, start + MAX_HEADER_SIZE);
-    if (!end) {
-        return -1;
-    }
-    conn->headers_sent = 1;
-    if (conn->reply_size <= MAX_INLINE_BODY && !is_http2_stream(wsi)) {
-        memcpy(end, conn->reply + LWS_PRE, conn->reply_size);
-        end += conn->reply_size;
-        conn->reply_size = 0;
+    const struct conn *conn = Tab_Get(&httpd->conns, handle);
+    if (conn && !conn->reply && !conn->has_left && httpd->closed) {
+        httpd->closed(httpd->context, conn->request.conn, conn->user);
     }
-    size_t size = (size_t)(end - start);
-    return lws_write(wsi, start, size, LWS_WRITE_HTTP_HEADERS) == (int)size
-               ? 0
-               : -1;
 }
 
-static int
-on_writable(struct httpd *httpd, struct lws *wsi, struct session *session)
+int
+Hsi_Complete(struct httpd *httpd, tab_handle *handle)
 {
-    struct conn *conn = Tab_Get(&httpd->conns, session->conn);
-    if (!conn || !conn->reply) {
-        return 0;
-    }
-    if (!conn->headers_sent) {
-        if (send_headers(wsi, conn)) {
-            return -1;
-        }
-        if (conn->reply_size) {
-            lws_callback_on_writable(wsi);
-            return 0;
-        }
-    }
-    if (conn->reply_size &&
-        lws_write(wsi, conn->reply + LWS_PRE, conn->reply_size,
-                  LWS_WRITE_HTTP_FINAL) < 0) {
-        return -1;
-    }
+    const struct conn *conn = Tab_Get(&httpd->conns, *handle);
     conn_id id = conn->request.conn;
     unsigned char user[HS_USER_SIZE];
     memcpy(user, conn->user, sizeof(user));
-    int must_close = conn->too_large || httpd->close_after_reply;
-    drop_conn(httpd, session);
+    int must_close = conn->is_refused || httpd->close_after_reply;
+    Hsi_Drop(httpd, handle);
     if (httpd->sent) {
         httpd->sent(httpd->context, id, user);
     }
-    if (must_close || lws_http_transaction_completed(wsi)) {
-        return -1;
-    }
-    return 0;
-}
-
-static void
-notify_closed(struct httpd *httpd, struct session *session)
-{
-    const struct conn *conn = Tab_Get(&httpd->conns, session->conn);
-    if (conn && !conn->reply && !conn->has_left && httpd->closed) {
-        httpd->closed(httpd->context, conn->request.conn, conn->user);
-    }
+    return must_close;
 }
 
-static int
-callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-         void *in, size_t len)
-{
-    struct lws_vhost *vhost = lws_get_vhost(wsi);
-    struct httpd *httpd = vhost ? lws_get_vhost_user(vhost) : NULL;
-    struct session *session = user;
-    if (!httpd) {
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
-    }
-    switch (reason) {
-    case LWS_CALLBACK_HTTP:
-        return on_request(httpd, wsi, session);
-    case LWS_CALLBACK_HTTP_BODY:
-        return on_body(httpd, session, in, len);
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION: {
-        struct conn *conn = Tab_Get(&httpd->conns, session->conn);
-        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-        return conn && !conn->reply ? dispatch(httpd, session, conn) : 0;
-    }
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-        return on_writable(httpd, wsi, session);
-    case LWS_CALLBACK_CLOSED_HTTP:
-        if (session) {
-            notify_closed(httpd, session);
-            drop_conn(httpd, session);
-        }
-        return 0;
-    default:
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
-    }
-}
-
-static const struct lws_protocols protocols[] = {
-    {"http", callback, sizeof(struct session), 0, 0, NULL, 0},
-    {NULL, NULL, 0, 0, 0, NULL, 0},
-};
-
 int
 Hs_Init(struct httpd *httpd, struct loop *loop, const char *addr,
         const char *tls_cert, const char *tls_key, hs_handler *handler,
@@ -414,7 +285,7 @@
     info.iface = httpd->listen;
     info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
     info.vhost_name = addr;
-    info.protocols = protocols;
+    info.protocols = tls_cert ? hsi_tls_protocols : hsi_plain_protocols;
     info.user = httpd;
     info.keepalive_timeout = 60;
     info.timeout_secs = 30;
@@ -423,6 +294,11 @@
     if (tls_cert) {
         info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     }
+    else {
+        info.options |= LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
+        info.listen_accept_role = "raw-skt";
+        info.listen_accept_protocol = hsi_plain_protocols[0].name;
+    }
     httpd->vhost = lws_create_vhost(loop->lws, &info);
     if (!httpd->vhost) {
         return Err_Set(err, CODE_SYSTEM, "cannot listen on %s", addr);
@@ -436,7 +312,8 @@
     uint32_t slot = 0;
     struct conn *conn;
     while ((conn = Tab_Next(&httpd->conns, &slot))) {
-        reset_conn(conn);
+        free(conn->body);
+        free(conn->reply);
     }
     Tab_Finish(&httpd->conns);
 }
--- /dev/null
+++ b/shell/src/intake.c
@@ -0,0 +1,130 @@
+/* Clients that send much and finish nothing: many large bodies that stop short
+ * of their end, endless heads, idle connections. A client that sends its
+ * request without a break has a small or a young one, and is evicted last. */
+#include "shell/intake.h"
+
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+#include <utlist.h>
+
+/* Part of the memory for unfinished requests. The rest is for the work of the
+ * process itself. */
+#define MEMORY_PART 4
+/* Part of the memory for connections, and the size of one with its buffers. */
+#define CONNECTION_BYTES (16u << 10)
+/* Descriptors that are kept for files, and the part of the rest that is kept
+ * for the process's own connections. */
+#define FILE_DESCRIPTORS 200
+#define OWN_PART 4
+/* Connections that are allowed however small the machine is. */
+#define MIN_CONNECTIONS 16
+
+static uint64_t
+system_memory(void)
+{
+    long pages = sysconf(_SC_PHYS_PAGES);
+    long size = sysconf(_SC_PAGESIZE);
+    return pages > 0 && size > 0 ? (uint64_t)pages * (uint64_t)size
+                                 : UINT32_MAX;
+}
+
+static uint64_t
+system_descriptors(void)
+{
+    struct rlimit limit;
+    return getrlimit(RLIMIT_NOFILE, &limit) ? UINT32_MAX : limit.rlim_cur;
+}
+
+void
+Intake_Init(struct intake *intake, uint64_t memory_mb, uint64_t descriptors)
+{
+    uint64_t memory = memory_mb ? memory_mb << 20 : system_memory();
+    memset(intake, 0, sizeof(*intake));
+    intake->max_bytes = memory / MEMORY_PART;
+    descriptors = descriptors ? descriptors : system_descriptors();
+    descriptors = descriptors > FILE_DESCRIPTORS
+                      ? descriptors - FILE_DESCRIPTORS
+                      : 0;
+    uint64_t max = descriptors - descriptors / OWN_PART;
+    uint64_t fit = memory / MEMORY_PART / CONNECTION_BYTES;
+    max = max < fit ? max : fit;
+    max = max > MIN_CONNECTIONS ? max : MIN_CONNECTIONS;
+    intake->max_items = max < UINT32_MAX ? (uint32_t)max : UINT32_MAX;
+}
+
+int
+Intake_Add(struct intake *intake, struct intake_item *item)
+{
+    if (intake->items >= intake->max_items) {
+        struct intake_item *oldest = intake->waiting;
+        if (!oldest) {
+            return -1;
+        }
+        Intake_SetWaiting(intake, oldest, 0);
+        oldest->evict(oldest, INTAKE_CONNECTIONS);
+    }
+    intake->items++;
+    Intake_SetWaiting(intake, item, 1);
+    return 0;
+}
+
+void
+Intake_Remove(struct intake *intake, struct intake_item *item)
+{
+    Intake_SetWaiting(intake, item, 0);
+    Intake_Release(intake, item);
+    intake->items--;
+}
+
+void
+Intake_SetWaiting(struct intake *intake, struct intake_item *item,
+                  int is_waiting)
+{
+    if (item->is_waiting == is_waiting) {
+        return;
+    }
+    item->is_waiting = is_waiting;
+    if (is_waiting) {
+        DL_APPEND(intake->waiting, item);
+    }
+    else {
+        DL_DELETE(intake->waiting, item);
+    }
+}
+
+/* Of several of the same size the one that has waited longest. */
+static struct intake_item *
+find_largest(struct intake *intake)
+{
+    struct intake_item *largest = intake->waiting;
+    struct intake_item *item;
+    DL_FOREACH(intake->waiting, item)
+    {
+        largest = item->bytes > largest->bytes ? item : largest;
+    }
+    return largest;
+}
+
+int
+Intake_Reserve(struct intake *intake, struct intake_item *item, uint64_t bytes)
+{
+    while (intake->bytes + bytes > intake->max_bytes) {
+        struct intake_item *largest = find_largest(intake);
+        if (!largest || largest == item ||
+            largest->bytes < item->bytes + bytes) {
+            return -1;
+        }
+        largest->evict(largest, INTAKE_MEMORY);
+    }
+    intake->bytes += bytes;
+    item->bytes += bytes;
+    return 0;
+}
+
+void
+Intake_Release(struct intake *intake, struct intake_item *item)
+{
+    intake->bytes -= item->bytes;
+    item->bytes = 0;
+}
--- a/shell/src/loop.c
+++ b/shell/src/loop.c
@@ -51,6 +51,7 @@
 {
     struct lws_context_creation_info info = {0};
     memset(loop, 0, sizeof(*loop));
+    Intake_Init(&loop->intake, 0, 0);
     lws_set_log_level(LLL_ERR, NULL);
     info.options =
         LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -93,6 +93,13 @@
      NULL, "starts that an agent remembers at once"},
     {"member_capacity", KIND_INT, AT(member_capacity), 4, 65536, 2048, NULL,
      NULL, "processes that an entry knows at once"},
+    {"memory_mb", KIND_INT, AT(memory_mb), 0, 16777216, 0, NULL, NULL,
+     "memory of the machine in MiB, of which a quarter may be taken by "
+     "unfinished requests and a quarter by connections; 0 for what the "
+     "operating system reports"},
+    {"descriptors", KIND_INT, AT(descriptors), 0, 16777216, 0, NULL, NULL,
+     "descriptors of the process; 200 and a quarter of the rest are not used "
+     "for clients; 0 for the limit of the operating system"},
     {"stop_limit_s", KIND_INT, AT(stop_limit_s), 0, 86400, 60, NULL, NULL,
      "seconds that a graceful stop may take"},
     {"forget_member_s", KIND_INT, AT(forget_member_s), 5, 604800, 7200, NULL,
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -50,8 +50,7 @@
     (void)context;
     assert_true(request_count < MAX_REQUESTS);
     requests[request_count++] = request->conn;
-    if (request_count > silent_count &&
-        !strstr(request->path, "feed")) {
+    if (request_count > silent_count && !strstr(request->path, "feed")) {
         answer(request->conn, 9);
     }
 }
@@ -62,8 +61,8 @@
     (void)context;
     assert_int_equal(result->code, CODE_OK);
     delivered++;
-    delivered_version = (uint64_t)json_integer_value(
-        json_object_get(result->body, "version"));
+    delivered_version =
+        (uint64_t)json_integer_value(json_object_get(result->body, "version"));
 }
 
 static void
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -18,7 +19,7 @@
 #include "shell/httpd.h"
 
 #define PORT 20700
-#define MAX_HANDLED 8
+#define MAX_HANDLED 80
 /* Time after which the test is considered hung. */
 #define TIMEOUT_S 300
 
@@ -41,6 +42,7 @@
 static struct counters counters;
 static char listen_addr[32];
 static char handled[MAX_HANDLED][HS_PATH_SIZE];
+static uint32_t handled_size[MAX_HANDLED];
 static char handled_host[HS_HEADER_SIZE];
 static int handled_count;
 static int answered_count;
@@ -62,6 +64,7 @@
     }
     else {
         assert_true(handled_count < MAX_HANDLED);
+        handled_size[handled_count] = request->body.size;
         memcpy(handled[handled_count++], request->path, HS_PATH_SIZE);
         memcpy(handled_host, request->host, HS_HEADER_SIZE);
     }
@@ -427,6 +430,213 @@
     }
 }
 
+/* Sends `text` in segments of random sizes, and lets the server read each
+ * before the next. */
+static void
+send_in_segments(int fd, const char *text, unsigned *seed)
+{
+    size_t size = strlen(text);
+    while (size) {
+        size_t part = (size_t)rand_r(seed) % 120 + 1;
+        part = part < size ? part : size;
+        assert_int_equal(send(fd, text, part, MSG_NOSIGNAL), part);
+        for (int i = 0; i < 3; i++) {
+            lws_cancel_service(loop.lws);
+            assert_true(lws_service(loop.lws, 0) >= 0);
+        }
+        text += part;
+        size -= part;
+    }
+}
+
+/* libwebsockets gives a body behind another request wrong bytes, and never
+ * returns to the loop. */
+static void
+pipelined_bodies_are_handled_in_order(void **state)
+{
+    static const char *const streams[] = {
+        POST("/1") POST("/2"),
+        GET("/1") POST("/2"),
+        POST("/1") POST("/2") POST("/3") POST("/4"),
+        GET("/1") GET("/2") POST("/3") GET("/4") POST("/5"),
+    };
+    static const int counts[] = {2, 2, 4, 5};
+    char path[16];
+    (void)state;
+    for (size_t i = 0; i < sizeof(streams) / sizeof(streams[0]); i++) {
+        for (unsigned seed = 0; seed < 50; seed++) {
+            unsigned random = seed;
+            int fd = open_client();
+            int before = answered_count;
+            handled_count = 0;
+            if (seed == 0) {
+                send_text(fd, streams[i]);
+            }
+            else {
+                send_in_segments(fd, streams[i], &random);
+            }
+            run_until_answered(before + counts[i]);
+            assert_int_equal(handled_count, counts[i]);
+            for (int n = 0; n < handled_count; n++) {
+                snprintf(path, sizeof(path), "/%d", n + 1);
+                assert_string_equal(handled[n], path);
+                assert_true(handled_size[n] == 0 || handled_size[n] == 12);
+            }
+            assert_int_equal(handled_size[counts[i] - 1], 12);
+            close(fd);
+        }
+    }
+}
+
+static void
+many_pipelined_bodies_are_handled(void **state)
+{
+    int fd = open_client();
+    (void)state;
+    for (int i = 0; i < 64; i++) {
+        send_text(fd, POST("/job"));
+    }
+    run_until_answered(64);
+    assert_int_equal(handled_count, 64);
+    close(fd);
+}
+
+/* The second request must not hide that the client has left, as its first one
+ * would go on beside the copy that it submits elsewhere. */
+static void
+a_client_that_leaves_is_noticed_behind_a_second_request(void **state)
+{
+    (void)state;
+    for (size_t how = 0; how < LEAVE_COUNT; how++) {
+        int fd = open_client();
+        closed_count = 0;
+        waiting_count = 0;
+        send_text(fd, POST(WAIT) GET("/second"));
+        run_server();
+        assert_int_equal(waiting_count, 1);
+        leave(fd, ways_to_leave[how]);
+        run_server();
+        assert_int_equal(closed_count, 1);
+        assert_int_equal(handled_count, 0);
+    }
+}
+
+static void
+a_chunked_body_is_handled(void **state)
+{
+    int fd = open_client();
+    (void)state;
+    send_text(fd, "POST /chunked HTTP/1.1\r\nHost: a.example\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "5\r\n{\"ste\r\n7;x=y\r\nps\":[]}\r\n0\r\nTrailer: x\r\n"
+                  "\r\n" POST("/next"));
+    run_until_answered(2);
+    assert_int_equal(handled_size[0], 12);
+    assert_string_equal(handled[1], "/next");
+    close(fd);
+}
+
+/* Reads the answer, which must be the last one. */
+static void
+assert_closed_after(int fd, const char *status)
+{
+    char answer[512] = "";
+    size_t size = 0;
+    ssize_t got;
+    for (int i = 0; i < 3; i++) {
+        run_server();
+    }
+    while ((got = recv(fd, answer + size, sizeof(answer) - 1 - size, 0)) > 0) {
+        size += (size_t)got;
+    }
+    assert_int_equal(got, 0);
+    assert_memory_equal(answer, status, strlen(status));
+    assert_non_null(strstr(answer, "Connection: close"));
+    close(fd);
+}
+
+static void
+what_is_not_http_is_refused(void **state)
+{
+    static const char both_lengths[] =
+        "POST /job HTTP/1.1\r\nContent-Length: 5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    static const char *const requests[] = {
+        "POST /job HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        "POST /job HTTP/1.1\r\nno colon\r\n\r\n",
+        "POST /a%00b HTTP/1.1\r\nHost: a\r\n\r\n",
+        "POST /a%4 HTTP/1.1\r\nHost: a\r\n\r\n",
+        both_lengths,
+    };
+    (void)state;
+    for (size_t i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
+        int fd = open_client();
+        send_text(fd, requests[i]);
+        assert_closed_after(fd, "HTTP/1.1 400 ");
+    }
+    assert_int_equal(handled_count, 0);
+}
+
+static void
+a_head_over_the_limit_is_refused(void **state)
+{
+    static char text[20000];
+    int fd = open_client();
+    (void)state;
+    int size = snprintf(text, sizeof(text), "GET /job HTTP/1.1\r\nPadding: ");
+    memset(text + size, 'x', sizeof(text) - (size_t)size - 1);
+    send_text(fd, text);
+    assert_closed_after(fd, "HTTP/1.1 400 ");
+    assert_int_equal(handled_count, 0);
+}
+
+/* The client sends the body although the answer has been given. */
+static void
+a_body_over_the_limit_is_refused_and_the_answer_can_be_read(void **state)
+{
+    static char body[100000];
+    int fd = open_client();
+    (void)state;
+    server.max_body = 1000;
+    memset(body, 'x', sizeof(body) - 1);
+    send_text(fd, HEADERS("/job", "99999"));
+    run_server();
+    send_text(fd, body);
+    assert_closed_after(fd, "HTTP/1.1 413 ");
+    assert_int_equal(handled_count, 0);
+}
+
+static void
+a_client_may_ask_to_close_the_connection(void **state)
+{
+    int fd = open_client();
+    (void)state;
+    send_text(fd, "GET /job HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    assert_closed_after(fd, "HTTP/1.1 200 ");
+    assert_int_equal(handled_count, 1);
+}
+
+/* All memory for unfinished bodies is taken by others. */
+static void
+a_body_without_memory_is_refused_as_not_run(void **state)
+{
+    char answer[512] = "";
+    int fd = open_client();
+    (void)state;
+    loop.intake.max_bytes = 0;
+    send_text(fd, POST("/job"));
+    for (int i = 0; i < 3; i++) {
+        run_server();
+    }
+    assert_true(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
+    assert_memory_equal(answer, "HTTP/1.1 503 ", 13);
+    assert_non_null(strstr(answer, "Retry-After: "));
+    assert_non_null(strstr(answer, "\"run\":\"not run\""));
+    assert_int_equal(handled_count, 0);
+    assert_int_equal(counters.value[CTR_bodies_refused], 1);
+    close(fd);
+}
+
 int
 main(void)
 {
@@ -443,6 +653,15 @@
         TEST(a_client_that_ends_its_stream_has_left),
         TEST(a_server_of_reports_handles_those_of_closed_connections),
         TEST(a_waiting_client_that_has_left_is_dropped_before_other_events),
+        TEST(pipelined_bodies_are_handled_in_order),
+        TEST(many_pipelined_bodies_are_handled),
+        TEST(a_client_that_leaves_is_noticed_behind_a_second_request),
+        TEST(a_chunked_body_is_handled),
+        TEST(what_is_not_http_is_refused),
+        TEST(a_head_over_the_limit_is_refused),
+        TEST(a_body_over_the_limit_is_refused_and_the_answer_can_be_read),
+        TEST(a_client_may_ask_to_close_the_connection),
+        TEST(a_body_without_memory_is_refused_as_not_run),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -35,7 +35,7 @@
       uint64_t from_ms, uint32_t count, double factor)
 {
     for (uint32_t i = 0; i < count; i++) {
-        Speed_Learn(table, worker, kind, at_ms(from_ms + 10 * i),
+        Speed_Learn(table, worker, kind, at_ms(from_ms + 10ull * i),
                     (uint64_t)(ESTIMATE_US * factor), ESTIMATE_US);
     }
 }
