--- a/core/src/speed.c
+++ b/core/src/speed.c
@@ -15,8 +15,10 @@
 #define KIND_WEIGHT 8
 /* Tasks of a kind from which its average is used. */
 #define MIN_KIND_TASKS 16
-/* Run times in a range of this factor either way are ordinary. */
-#define MIN_FACTOR 1.25
+/* Averages in a range of this factor either way are ordinary: run times and
+ * their estimates spread by a factor of 1.5, and the averages of 24 tasks by
+ * 1.1. */
+#define MIN_FACTOR 1.4
 /* Bounds of the factor counted for one task. */
 #define MAX_TASK_FACTOR 20.0
 
