--- a/fuzz/fuzz_request.c
+++ b/fuzz/fuzz_request.c
@@ -1,6 +1,6 @@
 /* Fuzzes the reader of HTTP requests. Requests that are read byte by byte must
- * give the same as those that are read at once, and the reader must stop at the
- * end of each. */
+ * give the same as those that are read at once, and the reader must stop at
+ * the end of each. */
 #include <stdlib.h>
 #include <string.h>
 
--- a/shell/src/http_request.c
+++ b/shell/src/http_request.c
@@ -42,8 +42,8 @@
 {
     struct hq_reader *reader = reader_of(parser);
     const char *method = http_method_str((enum http_method)parser->method);
-    int status = reader->events->head(reader->context, method,
-                                      parser->content_length);
+    int status =
+        reader->events->head(reader->context, method, parser->content_length);
     /* A result of 1 or 2 has another meaning to the parser. */
     return status ? -1 : 0;
 }
--- a/shell/src/httpd_impl.h
+++ b/shell/src/httpd_impl.h
@@ -35,7 +35,7 @@
     int headers_sent;
     int is_refused; /* Answered before it was read: the rest is dropped, and
                        the connection is closed after the answer. */
-    int has_left;         /* httpd.closed has been called. */
+    int has_left;   /* httpd.closed has been called. */
     uint64_t received_us; /* When the request's headers arrived. */
     unsigned char user[HS_USER_SIZE];
 };
--- a/shell/src/httpd_plain.c
+++ b/shell/src/httpd_plain.c
@@ -161,7 +161,8 @@
         return request->token;
     }
     size_t size = strlen(field);
-    if (httpd->extra_name && strncasecmp(httpd->extra_name, field, size) == 0 &&
+    if (httpd->extra_name &&
+        strncasecmp(httpd->extra_name, field, size) == 0 &&
         strcmp(httpd->extra_name + size, ":") == 0) {
         return request->extra_value;
     }
@@ -195,8 +196,8 @@
         peer->target = NULL;
         if (peer->field_size < FIELD_SIZE) {
             peer->field[peer->field_size] = '\0';
-            peer->target = find_target(
-                peer->httpd, &get_conn(peer)->request, peer->field);
+            peer->target = find_target(peer->httpd, &get_conn(peer)->request,
+                                       peer->field);
         }
         if (peer->target) {
             peer->target[0] = '\0';
@@ -424,9 +425,8 @@
         out, size,
         "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
         "%s%s\r\n",
-        conn->status, Hq_StatusText(conn->status),
-        conn->type, conn->reply_size, retry,
-        closes ? "Connection: close\r\n" : "");
+        conn->status, Hq_StatusText(conn->status), conn->type,
+        conn->reply_size, retry, closes ? "Connection: close\r\n" : "");
     return used > 0 && (size_t)used < size ? used : -1;
 }
 
@@ -435,10 +435,9 @@
 static int
 send_head(struct peer *peer, struct conn *conn)
 {
-    unsigned char
-        buffer[LWS_PRE + HSI_MAX_HEADER_SIZE + HSI_MAX_INLINE_BODY];
-    int used = write_head(peer, conn, (char *)buffer + LWS_PRE,
-                          HSI_MAX_HEADER_SIZE);
+    unsigned char buffer[LWS_PRE + HSI_MAX_HEADER_SIZE + HSI_MAX_INLINE_BODY];
+    int used =
+        write_head(peer, conn, (char *)buffer + LWS_PRE, HSI_MAX_HEADER_SIZE);
     if (used < 0) {
         return -1;
     }
@@ -450,9 +449,8 @@
         size += conn->reply_size;
         conn->reply_size = 0;
     }
-    return lws_write(peer->wsi, buffer + LWS_PRE, size, LWS_WRITE_RAW) < 0
-               ? -1
-               : 0;
+    return lws_write(peer->wsi, buffer + LWS_PRE, size, LWS_WRITE_RAW) < 0 ? -1
+                                                                           : 0;
 }
 
 static int
--- a/shell/src/httpd_tls.c
+++ b/shell/src/httpd_tls.c
@@ -122,8 +122,7 @@
 {
     struct conn *conn = Tab_Get(&httpd->conns, session->conn);
     if (conn) {
-        lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT,
-                        HSI_BODY_TIMEOUT_S);
+        lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, HSI_BODY_TIMEOUT_S);
         Hsi_AddBody(httpd, conn, data, size);
     }
     return 0;
--- a/shell/src/intake.c
+++ b/shell/src/intake.c
@@ -43,9 +43,8 @@
     memset(intake, 0, sizeof(*intake));
     intake->max_bytes = memory / MEMORY_PART;
     descriptors = descriptors ? descriptors : system_descriptors();
-    descriptors = descriptors > FILE_DESCRIPTORS
-                      ? descriptors - FILE_DESCRIPTORS
-                      : 0;
+    descriptors =
+        descriptors > FILE_DESCRIPTORS ? descriptors - FILE_DESCRIPTORS : 0;
     uint64_t max = descriptors - descriptors / OWN_PART;
     uint64_t fit = memory / MEMORY_PART / CONNECTION_BYTES;
     max = max < fit ? max : fit;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -14,7 +14,7 @@
 #include "shell/intake.h"
 
 #define CROWD 1000
-#define KIB 1024u
+#define KIB 1024ull
 
 static struct intake intake;
 static struct intake_item crowd[CROWD];
