entry: counters of starts at slow workers, and of tasks that wait for fast ones

An operator sees with starts_on_slow and waits_for_fast whether the speed of machines decides where tasks go. Both stay at 0 where machines are alike.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -24,6 +24,9 @@
     X(tasks_started, "tasks started on an upstream")                          \
     X(tasks_finished, "tasks finished by an upstream")                        \
     X(tasks_sent, "start messages sent")                                      \
+    X(starts_on_slow, "starts sent to a worker too slow for the objective")   \
+    X(waits_for_fast,                                                         \
+      "times that a task waited beside room at a slow worker")                \
     X(start_resent, "start messages sent again to the same agent")            \
     X(start_duplicate, "duplicate starts received by an agent")               \
     X(start_retried, "tasks requeued after a conclusive refusal")             \
--- a/core/src/entry/agent_selection.c
+++ b/core/src/entry/agent_selection.c
@@ -331,8 +331,12 @@
     }
     agent = candidates[SLOW].agent;
     if (agent && may_use_slow(entry, now, job, step, agent)) {
+        CTR_INC(entry->counters, starts_on_slow);
         return agent;
     }
+    if (agent && job->objective_us) {
+        CTR_INC(entry->counters, waits_for_fast);
+    }
     return candidates[OVERCOMMITTED].agent;
 }
 
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -222,6 +222,7 @@
     submit(201, "long", LONG_MS, 8000);
     Net_Run(&net, 200);
     assert_int_equal(net.start_count, before);
+    assert_true(net.counters.value[CTR_waits_for_fast] > 0);
     Net_Run(&net, 200);
     assert_int_equal(starts_at(fast, before), 1);
 }
@@ -263,9 +264,11 @@
     fast->leaving = 1;
     Net_Run(&net, 600); /* Until the next announcement. */
     uint32_t before = net.start_count;
+    uint64_t on_slow = net.counters.value[CTR_starts_on_slow];
     submit(200, "long", LONG_MS, 8000);
     Net_Run(&net, 20);
     assert_int_equal(starts_at(slow, before), 1);
+    assert_true(net.counters.value[CTR_starts_on_slow] > on_slow);
 }
 
 #define TEST(f) cmocka_unit_test(f)
