httpd: a last answer is sent whole, trailers are not headers

Change: the next step waits until the answer has left the library; the next request too, so a client that reads nothing is read no further. Names after the head are ignored; each piece of a body renews its time.

--- a/shell/src/httpd_plain.c
+++ b/shell/src/httpd_plain.c
@@ -38,6 +38,8 @@
     uint8_t is_complete; /* That request is complete, and not answered. */
     uint8_t is_paused;   /* Nothing is read from the socket. */
     uint8_t is_last;     /* The client asked to close the connection. */
+    uint8_t is_flushing; /* The answer has been written, and libwebsockets
+                            still has a part of it. */
     uint8_t is_closing;  /* The last answer has been sent. */
     uint8_t drops_input; /* A request was refused before it was read, or is not
                             HTTP: the rest has no meaning. */
@@ -46,6 +48,7 @@
     size_t field_size;
     size_t value_size;
     uint8_t is_value; /* Its value is being read. */
+    uint8_t has_head; /* The head is complete: what follows are trailers. */
     char *target;     /* HS_HEADER_SIZE bytes for the value, or NULL. */
 };
 
@@ -95,6 +98,7 @@
     peer->conn = Tab_Handle(&peer->httpd->conns, conn);
     peer->field_size = 0;
     peer->is_value = 0;
+    peer->has_head = 0;
     return 0;
 }
 
@@ -194,7 +198,7 @@
         peer->is_value = 1;
         peer->value_size = 0;
         peer->target = NULL;
-        if (peer->field_size < FIELD_SIZE) {
+        if (peer->field_size < FIELD_SIZE && !peer->has_head) {
             peer->field[peer->field_size] = '\0';
             peer->target = find_target(peer->httpd, &get_conn(peer)->request,
                                        peer->field);
@@ -256,6 +260,7 @@
 {
     struct peer *peer = context;
     struct conn *conn = get_conn(peer);
+    peer->has_head = 1;
     conn->received_us = Loop_Now().us;
     conn->request.method = read_method(method);
     read_token(conn->request.token);
@@ -274,6 +279,8 @@
 on_body(void *context, const char *data, size_t size)
 {
     struct peer *peer = context;
+    lws_set_timeout(peer->wsi, PENDING_TIMEOUT_HTTP_CONTENT,
+                    HSI_BODY_TIMEOUT_S);
     Hsi_AddBody(peer->httpd, get_conn(peer), data, size);
     return 0;
 }
@@ -460,6 +467,11 @@
     if (!conn || !conn->reply) {
         return 0;
     }
+    if (peer->is_flushing) {
+        /* Called once the rest has been sent. */
+        peer->is_flushing = 0;
+        return next_request(peer);
+    }
     if (!conn->headers_sent) {
         if (send_head(peer, conn)) {
             return -1;
@@ -473,6 +485,11 @@
                                       conn->reply_size, LWS_WRITE_RAW) < 0) {
         return -1;
     }
+    if (lws_partial_buffered(peer->wsi)) {
+        peer->is_flushing = 1;
+        lws_callback_on_writable(peer->wsi);
+        return 0;
+    }
     return next_request(peer);
 }
 
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -1,6 +1,7 @@
 /* Requests that reach the HTTP server before or after their client has left.
  * What a client sent stays readable after it has closed or reset its
  * connection; it then sends the same request elsewhere. */
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -31,6 +32,9 @@
 #define PROBE "/probe"
 /* Path of the requests that are not answered. */
 #define WAIT "/wait"
+/* Path of the requests that get LARGE_SIZE bytes. */
+#define LARGE "/large"
+#define LARGE_SIZE (8u << 20)
 #define BODY "{\"steps\":[]}"
 #define POST(path) HEADERS(path, "12") BODY
 
@@ -50,6 +54,15 @@
 static int closed_count;
 static int waiting_count;
 
+static void
+reply_large(conn_id conn)
+{
+    static char body[LARGE_SIZE];
+    struct hs_reply reply = {
+        .status = 200, .type = "text/plain", .body = {body, sizeof(body)}};
+    assert_int_equal(Hs_Reply(&server, conn, &reply), 0);
+}
+
 static void
 on_request(void *context, const struct hs_request *request)
 {
@@ -68,6 +81,10 @@
         memcpy(handled[handled_count++], request->path, HS_PATH_SIZE);
         memcpy(handled_host, request->host, HS_HEADER_SIZE);
     }
+    if (strcmp(request->path, LARGE) == 0) {
+        reply_large(request->conn);
+        return;
+    }
     assert_int_equal(
         Hs_ReplyJson(&server, request->conn, 200, "{\"state\":\"queued\"}"),
         0);
@@ -616,6 +633,44 @@
     assert_int_equal(handled_count, 1);
 }
 
+/* The socket takes a part of the answer at a time, and the connection must not
+ * be closed before the last. */
+static void
+a_large_last_answer_is_sent_whole(void **state)
+{
+    static char answer[65536];
+    size_t size = 0;
+    ssize_t got;
+    int fd = open_client();
+    (void)state;
+    send_text(fd, "GET " LARGE " HTTP/1.1\r\nHost: a\r\n"
+                  "Connection: close\r\n\r\n");
+    run_server();
+    do {
+        lws_cancel_service(loop.lws);
+        assert_true(lws_service(loop.lws, 0) >= 0);
+        got = recv(fd, answer, sizeof(answer), MSG_DONTWAIT);
+        size += got > 0 ? (size_t)got : 0;
+    } while (got > 0 || (got < 0 && errno == EAGAIN));
+    assert_int_equal(got, 0);
+    assert_true(size > LARGE_SIZE);
+    close(fd);
+}
+
+/* A trailer must not change what the head has said. */
+static void
+trailers_are_not_headers(void **state)
+{
+    int fd = open_client();
+    (void)state;
+    send_text(fd, "POST /job HTTP/1.1\r\nHost: a.example\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "1\r\n1\r\n0\r\nHost: b.example\r\n\r\n");
+    run_until_answered(1);
+    assert_string_equal(handled_host, "a.example");
+    close(fd);
+}
+
 /* All memory for unfinished bodies is taken by others. */
 static void
 a_body_without_memory_is_refused_as_not_run(void **state)
@@ -661,6 +716,8 @@
         TEST(a_head_over_the_limit_is_refused),
         TEST(a_body_over_the_limit_is_refused_and_the_answer_can_be_read),
         TEST(a_client_may_ask_to_close_the_connection),
+        TEST(a_large_last_answer_is_sent_whole),
+        TEST(trailers_are_not_headers),
         TEST(a_body_without_memory_is_refused_as_not_run),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
