daemon: freed blocks of 64 KB and more go back to the system

The C library raises the size from which it returns freed blocks to the largest that it has seen, here a body of 256 KB; later bodies then come from the heap, which keeps them when something small lies behind.

Change: both thresholds of the allocator are fixed, at 64 and 128 KB.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,6 @@
 /* jacinthpickd: runs an entry or an agent, depending on the settings. */
 #include <getopt.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +15,12 @@
  * line has none. */
 #define FILE_VARIABLE "JACINTHPICK_CONFIG"
 
+/* Blocks from this size on are returned to the system when they are freed, and
+ * so is the end of the heap beyond the second. By default the C library raises
+ * both to the sizes that it sees, and keeps what a crowd has left. */
+#define MMAP_THRESHOLD (64 << 10)
+#define TRIM_THRESHOLD (128 << 10)
+
 static const char usage[] =
     "Usage: jacinthpickd [OPTION]... [FILE]\n"
     "Run an entry or an agent with the settings in FILE, or in the file that\n"
@@ -46,6 +53,8 @@
 {
     struct reload reload;
     enum log_level level;
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
+    mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
     if (Log_ParseLevel(settings->log_level, &level) == 0) {
         Log_SetLevel(level);
     }
