scenarios/crowd: crowds on the port with TLS

Nine cases with the bounds of the other crowds: 64 MB, 400 descriptors, an ordinary request answered beside the crowd, on the callers' port and over TLS.

--- a/scenarios/crowd.py
+++ b/scenarios/crowd.py
@@ -12,6 +12,7 @@
 import os
 import resource
 import socket
+import ssl
 import subprocess
 import sys
 import time
@@ -230,6 +231,141 @@
     return clients
 
 
+def tls_context():
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
+
+
+def open_tls_clients(count):
+    """Connections to the own port after their handshake."""
+    context = tls_context()
+    clients = []
+    for client in open_clients(OWN, count):
+        try:
+            clients.append(context.wrap_socket(client))
+        except OSError:
+            client.close()  # evicted, which is allowed
+        watch()
+    return clients
+
+
+def tls_call(data):
+    """Sends the pieces of a request over TLS; returns the answer."""
+    client = open_tls_clients(1)[0]
+    send_in_turn([client], [iter(data)])
+    answer = client.recv(4096)
+    client.close()
+    return answer
+
+
+def is_answered_over_tls():
+    try:
+        return b" 200 " in tls_call([b"GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n"])
+    except (OSError, IndexError):
+        return False
+
+
+def key_request(size=None):
+    return head(size, "/v1/keys")
+
+
+def has_two_keys(answer):
+    """The number is in the body; without a body one key is answered."""
+    return b" 200 " in answer[:20] and answer.count(b'","') == 1
+
+
+def play_tls_calm():
+    body = b'{"count": 2}'.ljust(MAX_BODY)
+    check("answered over TLS", wait_until(is_answered_over_tls))
+    whole = tls_call([key_request(MAX_BODY) + body])
+    check("whole body over TLS", has_two_keys(whole), whole)
+    cut = tls_call(pieces(key_request(MAX_BODY) + body))
+    check("body in pieces over TLS", has_two_keys(cut), cut)
+    chunked = tls_call([key_request(), *map(chunk, pieces(body)), b"0\r\n\r\n"])
+    # A server may ask for the length instead of reading chunks.
+    check("chunked body over TLS", has_two_keys(chunked) or b" 411 " in chunked[:20], chunked)
+    return []
+
+
+def crowd_tls_pipelined():
+    body = b'{"count": 2}'
+    post = key_request(len(body)) + body
+    clients = open_tls_clients(PIPELINING)
+    for i, client in enumerate(clients):
+        send(client, (post if i % 2 else b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n") + post)
+    watch()
+    return clients
+
+
+def client_hello():
+    """The first flight of a client, taken from a handshake in memory."""
+    out = ssl.MemoryBIO()
+    try:
+        tls_context().wrap_bio(ssl.MemoryBIO(), out).do_handshake()
+    except ssl.SSLWantReadError:
+        pass
+    return out.read()
+
+
+def crowd_tls_handshakes():
+    """Each sends a half of its first flight."""
+    clients = open_clients(OWN, IDLE)
+    hello = client_hello()
+    for client in clients:
+        send(client, hello[:len(hello) // 2])
+        watch()
+    return clients
+
+
+def crowd_tls_hellos():
+    """Each announces a ClientHello of 130,000 bytes, and sends it but for the
+    last 100, in records of the largest size."""
+    clients = open_clients(OWN, IDLE)
+    hello = b"\1" + (130000).to_bytes(3, "big") + b"\3\3" + bytes(129800)
+    records = b"".join(b"\x16\3\1" + len(part).to_bytes(2, "big") + part
+                       for part in (hello[i:i + 16384] for i in range(0, len(hello), 16384)))
+    for client in clients:
+        send(client, records)
+        watch()
+    return clients
+
+
+def crowd_tls_heads():
+    clients = open_tls_clients(IDLE)
+    for client in clients:
+        send(client, key_request(10)[:-2] + b"Padding: " + b"x" * 8000)
+    watch()
+    return clients
+
+
+def crowd_tls_whole():
+    clients = open_tls_clients(BODIES)
+    for client in clients:
+        send(client, key_request(MAX_BODY) + bytes(MAX_BODY - 100))
+        watch()
+    return clients
+
+
+def crowd_tls_chunked():
+    def stream():
+        yield key_request()
+        yield from (chunk(piece) for piece in pieces(bytes(MAX_BODY - 100)))
+    clients = open_tls_clients(BODIES)
+    send_in_turn(clients, [stream() for _ in clients])
+    return clients
+
+
+def crowd_tls_unread():
+    clients = open_tls_clients(BODIES)
+    for client in clients:
+        client.settimeout(1)
+        send(client, b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" * 200)
+        watch()
+    return clients
+
+
 def close(clients):
     for client in clients:
         client.close()
@@ -301,6 +437,15 @@
     "readiness-port": lambda: crowd_whole(READY),
     "upstream-port": lambda: crowd_whole(AGENT_UPSTREAM),
     "agent-port": lambda: crowd_whole(AGENT_OWN),
+    "tls-calm": play_tls_calm,
+    "tls-pipelined": crowd_tls_pipelined,
+    "tls-handshakes": crowd_tls_handshakes,
+    "tls-hellos": crowd_tls_hellos,
+    "tls-idle": lambda: open_tls_clients(IDLE),
+    "tls-heads": crowd_tls_heads,
+    "tls-whole": crowd_tls_whole,
+    "tls-chunked": crowd_tls_chunked,
+    "tls-unread": crowd_tls_unread,
 }
 
 resource.setrlimit(resource.RLIMIT_NOFILE, (4096, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
@@ -314,6 +459,8 @@
 check("answered beside the crowd", wait_until(is_answered))
 check("the agent is ready beside the crowd",
       wait_until(is_ready))
+if case.startswith("tls-"):
+    check("answered over TLS beside the crowd", wait_until(is_answered_over_tls))
 watch()
 for role, pid in pids.items():
     alive = os.path.exists(f"/proc/{pid}") and not is_zombie(pid)
