httpd: TLS is a layer below the one reader of requests

Callers saw: on the port with TLS one connection that sends a request and a body behind it stops the entry for all; connections have no bound there (623 descriptors of 400, 117 MB of 64); a chunked body is taken for none.

Cause: connections with TLS stayed with the HTTP role of libwebsockets 4.1.6, which never returns to the loop in the first case, and of whose connections the budget for clients knows only the bodies. OpenSSL allocates up to 128 KB for a ClientHello that has only been announced.

Change: shell/src/tls.c (the former tls_client.c, now for both sides) passes the bytes through OpenSSL's memory buffers below httpd_conn.c, which has the reader, the budget and the times of connections without TLS; httpd_tls.c is gone. What OpenSSL allocates for a connection is counted block by block and comes on top of the 16 KB of each connection; who waits longest for its client is closed first. 10 s for a handshake. Answers are passed on in pieces of 64 KB as the socket takes them: libwebsockets refuses more than 1,024 pieces in its queue.

HTTP/2 is no longer served.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "daemon.h"
+#include "shell/tls.h"
 
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
@@ -55,6 +56,9 @@
     enum log_level level;
     mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
     mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
+    if (Tls_CountMemory()) {
+        LOG_WARN("http", "Memory of TLS connections is not counted.");
+    }
     if (Log_ParseLevel(settings->log_level, &level) == 0) {
         Log_SetLevel(level);
     }
--- a/shell/include/shell/httpd.h
+++ b/shell/include/shell/httpd.h
@@ -8,6 +8,7 @@
 #include "base/tab.h"
 #include "core/act.h"
 #include "shell/loop.h"
+#include "shell/tls.h"
 
 /** Default limit of a request's body, in bytes. */
 #define HS_MAX_BODY (16u << 20)
@@ -66,6 +67,7 @@
                                  part of each connection's identifier. */
     hs_closed *closed;      /**< NULL for none. */
     struct lws_vhost *vhost;
+    SSL_CTX *tls; /**< NULL without TLS. */
     struct tab conns;
     hs_handler *handler;
     hs_sent *sent;
--- a/shell/include/shell/intake.h
+++ b/shell/include/shell/intake.h
@@ -17,15 +17,16 @@
 
 struct intake_item;
 
-/** Called to evict an item: with INTAKE_MEMORY it must release its bytes
- * before it returns, with INTAKE_CONNECTIONS it must be removed soon. */
+/** Called to evict an item: before it returns it must release its bytes with
+ * INTAKE_MEMORY, and be removed with INTAKE_CONNECTIONS. */
 typedef void intake_evict(struct intake_item *item, enum intake_reason reason);
 
 /** A connection of a client. */
 struct intake_item {
     struct intake_item *prev, *next; /**< In intake.waiting. */
     intake_evict *evict;
-    uint64_t bytes; /**< Memory reserved for it. */
+    uint64_t bytes; /**< Memory reserved for what it has sent. */
+    uint64_t held;  /**< Memory of the connection itself. */
     int is_waiting; /**< The client has the next move: to send the rest of a
                          request, or the next one. */
 };
@@ -33,8 +34,10 @@
 /** The budget of a process. */
 struct intake {
     uint64_t max_bytes;
+    uint64_t max_held;
     uint32_t max_items;
     uint64_t bytes;
+    uint64_t held;
     uint32_t items;
     struct intake_item *waiting; /**< Those that wait longest are first. */
 };
@@ -49,6 +52,12 @@
  * Returns -1 if there are too many and none waits for its client. */
 int Intake_Add(struct intake *intake, struct intake_item *item);
 
+/** Set the memory that a connection holds beside what is usual for each, as
+ * for TLS. Returns -1 if there is not so much, also after the eviction of all
+ * others that wait for their clients. */
+int Intake_SetHeld(struct intake *intake, struct intake_item *item,
+                   uint64_t bytes);
+
 /** Remove a connection, and release its memory. */
 void Intake_Remove(struct intake *intake, struct intake_item *item);
 
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -7,7 +7,7 @@
 #include "base/addr.h"
 #include "shell/http_reply.h"
 #include "shell/httpd.h"
-#include "shell/tls_client.h"
+#include "shell/tls.h"
 
 /* lws is used for TCP only. Its HTTP client, version 4.1.6, writes to freed
  * memory if it reuses a connection that the server has reset; it doesn't open
@@ -24,7 +24,7 @@
     struct lws *wsi; /* NULL if there is no connection. */
     char addr[WIRE_ADDR_SIZE];
     int has_tls;
-    struct tls_client tls;
+    struct tls tls;
     int busy;      /* A call is in progress. */
     int is_reused; /* It found the connection open. */
     int is_closed; /* lws has closed the connection. */
@@ -174,7 +174,7 @@
 begin_tls(struct hc_conn *conn)
 {
     Tls_Finish(&conn->tls);
-    return Tls_Init(&conn->tls) || send_tls(conn) ? -1 : 0;
+    return Tls_Connect(&conn->tls) || send_tls(conn) ? -1 : 0;
 }
 
 static int
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -72,9 +72,6 @@
     if (conn) {
         free_body(httpd, conn);
         free(conn->reply);
-        if (conn->item == &conn->own) {
-            Intake_Remove(&httpd->loop->intake, conn->item);
-        }
         Tab_Remove(&httpd->conns, conn);
     }
     *handle = 0;
@@ -280,25 +277,19 @@
         return Err_Set(err, CODE_NO_MEMORY, "no memory for %d connections",
                        MAX_CONNS);
     }
+    if (tls_cert && !(httpd->tls = Tls_LoadServer(tls_cert, tls_key, err))) {
+        return -1;
+    }
     struct lws_context_creation_info info = {0};
     info.port = port;
     info.iface = httpd->listen;
-    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6 |
+                   LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
     info.vhost_name = addr;
-    info.protocols = tls_cert ? hsi_tls_protocols : hsi_plain_protocols;
+    info.protocols = hsi_protocols;
     info.user = httpd;
-    info.keepalive_timeout = 60;
-    info.timeout_secs = 30;
-    info.ssl_cert_filepath = tls_cert;
-    info.ssl_private_key_filepath = tls_key;
-    if (tls_cert) {
-        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-    }
-    else {
-        info.options |= LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-        info.listen_accept_role = "raw-skt";
-        info.listen_accept_protocol = hsi_plain_protocols[0].name;
-    }
+    info.listen_accept_role = "raw-skt";
+    info.listen_accept_protocol = hsi_protocols[0].name;
     httpd->vhost = lws_create_vhost(loop->lws, &info);
     if (!httpd->vhost) {
         return Err_Set(err, CODE_SYSTEM, "cannot listen on %s", addr);
@@ -316,6 +307,7 @@
         free(conn->reply);
     }
     Tab_Finish(&httpd->conns);
+    SSL_CTX_free(httpd->tls);
 }
 
 void
--- a/shell/src/httpd_plain.c
+++ b/shell/src/httpd_conn.c
@@ -1,7 +1,7 @@
-/* Connections without TLS. libwebsockets is used for TCP only: its HTTP role,
- * version 4.1.6, never returns to the loop when a request with a body arrives
- * behind another one, does not read chunked bodies, and keeps a buffer of
- * 16 KB for each connection without a request. */
+/* Connections of clients, with TLS or without. libwebsockets is used for TCP
+ * only: its HTTP role, version 4.1.6, never returns to the loop when a request
+ * with a body arrives behind another one, does not read chunked bodies, and
+ * keeps a buffer of 16 KB for each connection without a request. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +18,10 @@
  * read until that one is answered. Below, a client that leaves is noticed at
  * once. */
 #define MAX_AHEAD (64u << 10)
+/* Bytes of an answer that are sent at a time. */
+#define SEND_PIECE (64u << 10)
+/* Time in which a client has to finish the handshake of TLS. */
+#define HANDSHAKE_TIMEOUT_S 10
 /* Time in which a client has to send the head of its first request, and one
  * that keeps its connection the next. */
 #define HEAD_TIMEOUT_S 30
@@ -32,14 +36,14 @@
     struct httpd *httpd;
     struct intake_item item;
     struct hq_reader reader;
+    struct tls tls;  /* Unused without httpd.tls. */
     tab_handle conn; /* The request that is being read or answered, or 0. */
     unsigned char *ahead; /* Read after the end of that request. */
     size_t ahead_size;
+    uint8_t is_evicted;  /* No longer in the budget; being closed. */
     uint8_t is_complete; /* That request is complete, and not answered. */
     uint8_t is_paused;   /* Nothing is read from the socket. */
     uint8_t is_last;     /* The client asked to close the connection. */
-    uint8_t is_flushing; /* The answer has been written, and libwebsockets
-                            still has a part of it. */
     uint8_t is_closing;  /* The last answer has been sent. */
     uint8_t drops_input; /* A request was refused before it was read, or is not
                             HTTP: the rest has no meaning. */
@@ -77,8 +81,11 @@
     case INTAKE_CONNECTIONS:
         /* Closed before the new connection is accepted, so that a burst of
          * them does not exceed the limit. No event of this one is being
-         * handled. */
+         * handled. With output left it is closed in the next iteration. */
         CTR_INC(peer->httpd->counters, connections_evicted);
+        peer->is_evicted = 1;
+        Intake_Remove(&peer->httpd->loop->intake, &peer->item);
+        shutdown(lws_get_socket_fd(peer->wsi), SHUT_RDWR);
         lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
         break;
     }
@@ -372,17 +379,108 @@
     return keep_ahead(peer, data + used, size - used);
 }
 
+static int
+write_raw(const struct peer *peer, unsigned char *data, size_t size)
+{
+    return lws_write(peer->wsi, data, size, LWS_WRITE_RAW) < 0 ? -1 : 0;
+}
+
+static int
+send_tls(struct peer *peer)
+{
+    unsigned char data[LWS_PRE + 2 * TLS_PIECE];
+    size_t size;
+    while ((size = Tls_TakeOutput(&peer->tls, data + LWS_PRE,
+                                  sizeof(data) - LWS_PRE))) {
+        if (write_raw(peer, data + LWS_PRE, size)) {
+            return -1;
+        }
+    }
+    return 0;
+}
+
+/* LWS_PRE bytes before `data` may be overwritten. */
+static int
+send_bytes(struct peer *peer, unsigned char *data, size_t size)
+{
+    if (!peer->tls.ssl) {
+        return write_raw(peer, data, size);
+    }
+    for (size_t sent = 0; sent < size; sent += TLS_PIECE) {
+        size_t left = size - sent;
+        if (Tls_Write(&peer->tls, data + sent,
+                      left < TLS_PIECE ? left : TLS_PIECE) ||
+            send_tls(peer)) {
+            return -1;
+        }
+    }
+    return 0;
+}
+
 /* Ends the connection: the client can read its last answer, and then gets the
  * end of the stream. */
 static void
 close_gracefully(struct peer *peer)
 {
     peer->is_closing = 1;
+    if (peer->tls.ssl) {
+        Tls_Shutdown(&peer->tls);
+        send_tls(peer);
+    }
     Intake_SetWaiting(&peer->httpd->loop->intake, &peer->item, 1);
     shutdown(lws_get_socket_fd(peer->wsi), SHUT_WR);
     lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LINGER_S);
 }
 
+/* Reads what has been decrypted. A paused connection keeps the rest until that
+ * is read. */
+static int
+read_decrypted(struct peer *peer)
+{
+    unsigned char data[TLS_PIECE];
+    int got = 0;
+    while (!peer->is_paused &&
+           (got = Tls_Read(&peer->tls, data, sizeof(data))) > 0) {
+        if (read_request(peer, data, (size_t)got)) {
+            return -1;
+        }
+    }
+    return got < 0 ? -1 : 0;
+}
+
+/* Passes on one piece of what was received. */
+static int
+decrypt(struct peer *peer, const unsigned char *data, size_t size)
+{
+    int was_ready = Tls_IsReady(&peer->tls);
+    int status = Tls_OnReceived(&peer->tls, data, size);
+    if (!was_ready && Tls_IsReady(&peer->tls)) {
+        lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, HEAD_TIMEOUT_S);
+    }
+    if (status == 0) {
+        status = read_decrypted(peer);
+    }
+    if (Intake_SetHeld(&peer->httpd->loop->intake, &peer->item,
+                       (uint64_t)peer->tls.bytes)) {
+        CTR_INC(peer->httpd->counters, connections_refused);
+        status = -1;
+    }
+    return status;
+}
+
+static int
+read_tls(struct peer *peer, const unsigned char *data, size_t size)
+{
+    int status = 0;
+    for (size_t used = 0; used < size && status == 0; used += TLS_PIECE) {
+        size_t left = size - used;
+        status =
+            decrypt(peer, data + used, left < TLS_PIECE ? left : TLS_PIECE);
+    }
+    /* A failure may have left an alert. */
+    return send_tls(peer) ? -1 : status;
+}
+
 static int
 read_ahead(struct peer *peer)
 {
@@ -393,9 +491,10 @@
     Intake_Release(&peer->httpd->loop->intake, &peer->item);
     int status = size ? read_request(peer, data, size) : 0;
     free(data);
-    if (peer->is_paused && peer->ahead_size < MAX_AHEAD) {
+    if (status == 0 && peer->is_paused && peer->ahead_size < MAX_AHEAD) {
         peer->is_paused = 0;
         lws_rx_flow_control(peer->wsi, 1);
+        status = peer->tls.ssl ? read_decrypted(peer) : 0;
     }
     return status;
 }
@@ -456,10 +555,27 @@
         size += conn->reply_size;
         conn->reply_size = 0;
     }
-    return lws_write(peer->wsi, buffer + LWS_PRE, size, LWS_WRITE_RAW) < 0 ? -1
-                                                                           : 0;
+    return send_bytes(peer, buffer + LWS_PRE, size);
+}
+
+/* Sends as much of the body as the socket takes, so that libwebsockets keeps
+ * one piece at most for a client that does not read. */
+static int
+send_body(struct peer *peer, struct conn *conn)
+{
+    while (conn->reply_size && !lws_partial_buffered(peer->wsi)) {
+        size_t size =
+            conn->reply_size < SEND_PIECE ? conn->reply_size : SEND_PIECE;
+        if (send_bytes(peer, conn->reply + LWS_PRE + conn->reply_sent, size)) {
+            return -1;
+        }
+        conn->reply_sent += size;
+        conn->reply_size -= size;
+    }
+    return 0;
 }
 
+/* Called when libwebsockets has sent all that it was given. */
 static int
 on_writable(struct peer *peer)
 {
@@ -467,11 +583,6 @@
     if (!conn || !conn->reply) {
         return 0;
     }
-    if (peer->is_flushing) {
-        /* Called once the rest has been sent. */
-        peer->is_flushing = 0;
-        return next_request(peer);
-    }
     if (!conn->headers_sent) {
         if (send_head(peer, conn)) {
             return -1;
@@ -481,18 +592,33 @@
             return 0;
         }
     }
-    if (conn->reply_size && lws_write(peer->wsi, conn->reply + LWS_PRE,
-                                      conn->reply_size, LWS_WRITE_RAW) < 0) {
+    if (send_body(peer, conn)) {
         return -1;
     }
-    if (lws_partial_buffered(peer->wsi)) {
-        peer->is_flushing = 1;
+    if (conn->reply_size || lws_partial_buffered(peer->wsi)) {
         lws_callback_on_writable(peer->wsi);
         return 0;
     }
     return next_request(peer);
 }
 
+static int
+add_to_budget(struct peer *peer)
+{
+    struct intake *intake = &peer->httpd->loop->intake;
+    if (peer->httpd->tls && Tls_Accept(&peer->tls, peer->httpd->tls)) {
+        return -1;
+    }
+    if (Intake_Add(intake, &peer->item)) {
+        return -1;
+    }
+    if (Intake_SetHeld(intake, &peer->item, (uint64_t)peer->tls.bytes)) {
+        Intake_Remove(intake, &peer->item);
+        return -1;
+    }
+    return 0;
+}
+
 static int
 on_open(struct httpd *httpd, struct lws *wsi, struct session *session)
 {
@@ -504,17 +630,19 @@
         free(peer);
         return -1;
     }
+    peer->wsi = wsi;
+    peer->httpd = httpd;
     peer->item.evict = evict;
-    if (Intake_Add(&httpd->loop->intake, &peer->item)) {
+    if (add_to_budget(peer)) {
         CTR_INC(httpd->counters, connections_refused);
+        Tls_Finish(&peer->tls);
         Hq_Finish(&peer->reader);
         free(peer);
         return -1;
     }
-    peer->wsi = wsi;
-    peer->httpd = httpd;
     session->peer = peer;
-    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, HEAD_TIMEOUT_S);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK,
+                    httpd->tls ? HANDSHAKE_TIMEOUT_S : HEAD_TIMEOUT_S);
     return 0;
 }
 
@@ -530,12 +658,25 @@
         Hsi_NotifyClosed(httpd, peer->conn);
     }
     Hsi_Drop(httpd, &peer->conn);
-    Intake_Remove(&httpd->loop->intake, &peer->item);
+    if (!peer->is_evicted) {
+        Intake_Remove(&httpd->loop->intake, &peer->item);
+    }
+    Tls_Finish(&peer->tls);
     Hq_Finish(&peer->reader);
     free(peer->ahead);
     free(peer);
 }
 
+static int
+on_received(struct peer *peer, const unsigned char *data, size_t size)
+{
+    if (peer->is_evicted) {
+        return -1;
+    }
+    return peer->tls.ssl ? read_tls(peer, data, size)
+                         : read_request(peer, data, size);
+}
+
 static int
 callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
          void *in, size_t len)
@@ -550,7 +691,7 @@
     case LWS_CALLBACK_RAW_ADOPT:
         return on_open(httpd, wsi, session);
     case LWS_CALLBACK_RAW_RX:
-        return session->peer ? read_request(session->peer, in, len) : -1;
+        return session->peer ? on_received(session->peer, in, len) : -1;
     case LWS_CALLBACK_RAW_WRITEABLE:
         return session->peer ? on_writable(session->peer) : -1;
     case LWS_CALLBACK_RAW_CLOSE:
@@ -563,7 +704,7 @@
     }
 }
 
-const struct lws_protocols hsi_plain_protocols[] = {
+const struct lws_protocols hsi_protocols[] = {
     {"http", callback, sizeof(struct session), 0, 0, NULL, 0},
     {NULL, NULL, 0, 0, 0, NULL, 0},
 };
--- a/shell/src/httpd_impl.h
+++ b/shell/src/httpd_impl.h
@@ -1,6 +1,5 @@
-/* Internals of the HTTP server. httpd.c has the requests in progress; the
- * connections are in httpd_plain.c (HTTP/1.1) and httpd_tls.c (HTTP/1.1 and
- * HTTP/2 below TLS, read by libwebsockets). */
+/* Internals of the HTTP server. httpd.c has the requests in progress,
+ * httpd_conn.c the connections. */
 #ifndef SHELL_HTTPD_IMPL_H
 #define SHELL_HTTPD_IMPL_H
 
@@ -20,15 +19,14 @@
     struct lws *wsi;
     struct hs_request request;
     struct intake_item *item; /* Of the connection. */
-    struct intake_item own;   /* `item`, if a connection has several requests
-                                 at a time. */
     struct httpd *httpd;
     unsigned char *body;
     size_t body_size;
     size_t body_capacity;
     size_t body_declared; /* Its length by the header, 0 if unknown. */
     unsigned char *reply; /* LWS_PRE bytes, then the body. */
-    size_t reply_size;
+    size_t reply_size;    /* Bytes of the body that have not been sent. */
+    size_t reply_sent;
     int status;
     char type[48];
     uint32_t retry_after_s;
@@ -74,8 +72,7 @@
 /* Evicts a request or a connection, see intake.h. */
 void Hsi_EvictConn(struct conn *conn);
 
-/* The protocols of libwebsockets for either kind of server. */
-extern const struct lws_protocols hsi_plain_protocols[];
-extern const struct lws_protocols hsi_tls_protocols[];
+/* The protocols of libwebsockets for a server. */
+extern const struct lws_protocols hsi_protocols[];
 
 #endif
--- a/shell/src/intake.c
+++ b/shell/src/intake.c
@@ -47,32 +47,70 @@
         descriptors > FILE_DESCRIPTORS ? descriptors - FILE_DESCRIPTORS : 0;
     uint64_t max = descriptors - descriptors / OWN_PART;
     uint64_t fit = memory / MEMORY_PART / CONNECTION_BYTES;
+    fit = fit > MIN_CONNECTIONS ? fit : MIN_CONNECTIONS;
+    intake->max_held = fit * CONNECTION_BYTES;
     max = max < fit ? max : fit;
     max = max > MIN_CONNECTIONS ? max : MIN_CONNECTIONS;
     intake->max_items = max < UINT32_MAX ? (uint32_t)max : UINT32_MAX;
 }
 
-int
-Intake_Add(struct intake *intake, struct intake_item *item)
+/* Evicts the connection that has waited longest for its client, but not
+ * `except`. Returns -1 if none waits. */
+static int
+evict_oldest(struct intake *intake, const struct intake_item *except)
+{
+    struct intake_item *oldest = intake->waiting;
+    if (oldest && oldest == except) {
+        oldest = oldest->next;
+    }
+    if (!oldest) {
+        return -1;
+    }
+    Intake_SetWaiting(intake, oldest, 0);
+    oldest->evict(oldest, INTAKE_CONNECTIONS);
+    return 0;
+}
+
+static int
+hold(struct intake *intake, struct intake_item *item, uint64_t bytes)
 {
-    if (intake->items >= intake->max_items) {
-        struct intake_item *oldest = intake->waiting;
-        if (!oldest) {
+    while (intake->held - item->held + bytes > intake->max_held) {
+        if (evict_oldest(intake, item)) {
             return -1;
         }
-        Intake_SetWaiting(intake, oldest, 0);
-        oldest->evict(oldest, INTAKE_CONNECTIONS);
+    }
+    intake->held = intake->held - item->held + bytes;
+    item->held = bytes;
+    return 0;
+}
+
+int
+Intake_Add(struct intake *intake, struct intake_item *item)
+{
+    if (intake->items >= intake->max_items && evict_oldest(intake, item)) {
+        return -1;
+    }
+    if (hold(intake, item, CONNECTION_BYTES)) {
+        return -1;
     }
     intake->items++;
     Intake_SetWaiting(intake, item, 1);
     return 0;
 }
 
+int
+Intake_SetHeld(struct intake *intake, struct intake_item *item, uint64_t bytes)
+{
+    return hold(intake, item, CONNECTION_BYTES + bytes);
+}
+
 void
 Intake_Remove(struct intake *intake, struct intake_item *item)
 {
     Intake_SetWaiting(intake, item, 0);
     Intake_Release(intake, item);
+    intake->held -= item->held;
+    item->held = 0;
     intake->items--;
 }
 
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -157,6 +157,44 @@
     assert_int_equal(evicted_for_memory, 0);
 }
 
+/* What connections hold beside their bodies, such as that of TLS. */
+static void
+held_memory_stays_within_the_limit(void **state)
+{
+    (void)state;
+    Intake_Init(&intake, 64, 100000);
+    for (int i = 0; i < CROWD; i++) {
+        assert_int_equal(Intake_Add(&intake, &crowd[i]), 0);
+        assert_int_equal(Intake_SetHeld(&intake, &crowd[i], 130 * KIB), 0);
+        assert_true(intake.held <= intake.max_held);
+    }
+    assert_true(evicted_for_connections > 0);
+    /* A young one gets its place and keeps it. */
+    assert_int_equal(Intake_Add(&intake, &ordinary), 0);
+    assert_int_equal(Intake_SetHeld(&intake, &ordinary, 130 * KIB), 0);
+    for (int i = 0; i < 20; i++) {
+        assert_int_equal(Intake_SetHeld(&intake, &crowd[CROWD - 1],
+                                        (uint64_t)i * 130 * KIB),
+                         0);
+        assert_ptr_not_equal(latest, &ordinary);
+        assert_ptr_not_equal(latest, &crowd[CROWD - 1]);
+    }
+}
+
+/* It is never evicted in favour of itself. */
+static void
+a_connection_that_holds_too_much_is_refused(void **state)
+{
+    (void)state;
+    assert_int_equal(Intake_Add(&intake, &crowd[0]), 0);
+    assert_int_equal(Intake_Add(&intake, &ordinary), 0);
+    assert_int_equal(Intake_SetHeld(&intake, &ordinary, 17u << 20), -1);
+    assert_ptr_equal(latest, &crowd[0]);
+    assert_int_equal(intake.items, 1);
+    Intake_Remove(&intake, &ordinary);
+    assert_true(intake.held == 0);
+}
+
 static void
 all_memory_is_released(void **state)
 {
@@ -165,12 +203,14 @@
         for (uint32_t i = 0; i < 100; i++) {
             assert_int_equal(Intake_Add(&intake, &crowd[i]), 0);
             Intake_Reserve(&intake, &crowd[i], 256 * KIB);
+            Intake_SetHeld(&intake, &crowd[i], 40 * KIB);
             Intake_SetWaiting(&intake, &crowd[i], (int)i % 2);
         }
         for (uint32_t i = 0; i < 100; i++) {
             Intake_Remove(&intake, &crowd[i]);
         }
         assert_true(intake.bytes == 0);
+        assert_true(intake.held == 0);
         assert_int_equal(intake.items, 0);
         assert_null(intake.waiting);
     }
@@ -189,6 +229,8 @@
         TEST(bodies_stay_within_the_limit),
         TEST(an_ordinary_body_is_read_beside_a_crowd),
         TEST(the_largest_body_is_itself_refused),
+        TEST(held_memory_stays_within_the_limit),
+        TEST(a_connection_that_holds_too_much_is_refused),
         TEST(all_memory_is_released),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
