scenarios/crowd: crowds at the internal port, and beside stops and changes

stop, next-entry, reload and store-away hold at: unfinished bodies, unread answers and idle connections stay and come back while the entry and the agent are stopped and started, while a crowd moves on to the next entry, while the settings are reloaded in series and while the table service is away.

--- a/scenarios/crowd.py
+++ b/scenarios/crowd.py
@@ -6,11 +6,13 @@
 within what scenarios/crowd gives them, and an ordinary request is answered
 while the crowd is still there.
 
-Usage: crowd.py CASE BASE_PORT DAEMON SETTINGS ENTRY_PID AGENT_PID"""
+Usage: crowd.py CASE BASE_PORT DAEMON WORK ENTRY_PID AGENT_PID [ENTRY_2_PID]
+WORK has the settings of the processes."""
 import http.client
 import json
 import os
 import resource
+import signal
 import socket
 import ssl
 import subprocess
@@ -30,12 +32,18 @@
 PIECE = 4096
 HANG_S = 60
 
-case, base, daemon, settings = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
+case, base, daemon, work = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
 pids = {"entry": int(sys.argv[5]), "agent": int(sys.argv[6])}
-CALLERS, READY, OWN = base + 13, base + 14, base + 11
-AGENT_UPSTREAM, AGENT_OWN = base + 25, base + 21
+if len(sys.argv) > 7:
+    pids["entry 2"] = int(sys.argv[7])
+SETTINGS = {"entry": f"{work}/entry-1.json", "agent": f"{work}/agent-2.json",
+            "entry 2": f"{work}/entry-3.json"}
+CALLERS, READY, OWN, INTERNAL = base + 13, base + 14, base + 11, base + 12
+CALLERS_2 = base + 33
+AGENT_UPSTREAM, AGENT_OWN, AGENT_INTERNAL = base + 25, base + 21, base + 22
 failures = []
-most_descriptors = {"entry": 0, "agent": 0}
+most_descriptors = dict.fromkeys(pids, 0)
+started = []
 last_job = [0]
 
 
@@ -85,9 +93,9 @@
             "count": tasks, "cpu": 1000, "requestedMemoryMb": 64, "estimatedMs": 20}]})
 
 
-def is_answered():
+def is_answered(port=CALLERS):
     try:
-        return call(CALLERS, "POST", next_path(), job())[0] == 200
+        return call(port, "POST", next_path(), job())[0] == 200
     except (OSError, http.client.HTTPException):
         return False
 
@@ -194,8 +202,8 @@
     return clients
 
 
-def crowd_idle():
-    return open_clients(CALLERS, IDLE)
+def crowd_idle(port=CALLERS):
+    return open_clients(port, IDLE)
 
 
 def crowd_unread():
@@ -231,6 +239,29 @@
     return clients
 
 
+# What a process sends first on a connection to an internal port: the header of
+# nng's TCP transport for a PUSH socket.
+INTERNAL_HELLO = b"\0SP\0\0\x50\0\0"
+
+
+def crowd_internal_idle(port=INTERNAL):
+    """As our own processes open them, without the key of the cluster."""
+    clients = open_clients(port, IDLE)
+    for client in clients:
+        send(client, INTERNAL_HELLO)
+        watch()
+    return clients
+
+
+def crowd_internal_frames(port=INTERNAL):
+    """Each sends a frame but for the last 100 bytes."""
+    clients = open_clients(port, BODIES)
+    for client in clients:
+        send(client, INTERNAL_HELLO + MAX_BODY.to_bytes(8, "big") + bytes(MAX_BODY - 100))
+        watch()
+    return clients
+
+
 def tls_context():
     context = ssl.create_default_context()
     context.check_hostname = False
@@ -383,18 +414,97 @@
     return []
 
 
+def has_ended(role):
+    return not os.path.exists(f"/proc/{pids[role]}") or is_zombie(pids[role])
+
+
+def start_again(role):
+    process = subprocess.Popen([daemon, SETTINGS[role]], stdout=subprocess.DEVNULL)
+    started.append(process)
+    pids[role] = process.pid
+    most_descriptors[role] = 0
+
+
+def listens(port):
+    with socket.socket() as client:
+        return client.connect_ex(("127.0.0.1", port)) == 0
+
+
 def play_restart():
     """All crowds, a part of each; the entry is killed and started among them."""
     clients = crowd_whole()[::3] + crowd_idle()[::3]
-    os.kill(pids["entry"], 9)
-    wait_until(lambda: not os.path.exists(f"/proc/{pids['entry']}") or is_zombie(pids["entry"]))
-    pids["entry"] = subprocess.Popen([daemon, settings], stdout=subprocess.DEVNULL).pid
-    most_descriptors["entry"] = 0
+    os.kill(pids["entry"], signal.SIGKILL)
+    wait_until(lambda: has_ended("entry"))
+    start_again("entry")
     # Its callers are back before the entry is, and come as soon as it listens.
-    wait_until(lambda: socket.socket().connect_ex(("127.0.0.1", CALLERS)) == 0)
+    wait_until(lambda: listens(CALLERS))
     return clients + crowd_pieces() + crowd_heads() + crowd_unread() + crowd_whole()
 
 
+def stop_in_use(role, clients):
+    """Stops a process; its clients go on using their connections until it is
+    gone."""
+    os.kill(pids[role], signal.SIGTERM)
+
+    def is_gone():
+        for client in clients:
+            client.settimeout(0.01)
+            send(client, b"x")
+        return has_ended(role)
+    check(f"the {role} ends when it is stopped", wait_until(is_gone))
+
+
+def play_stop():
+    """The entry and the agent are stopped and started again beside the crowd,
+    which comes back."""
+    clients = crowd_whole() + crowd_unread() + crowd_idle()[::3]
+    stop_in_use("entry", clients)
+    start_again("entry")
+    wait_until(lambda: listens(CALLERS))
+    others = crowd_whole(AGENT_UPSTREAM)
+    stop_in_use("agent", others)
+    start_again("agent")
+    wait_until(lambda: listens(AGENT_UPSTREAM))
+    return clients + crowd_pieces() + crowd_heads() + crowd_whole(AGENT_UPSTREAM)
+
+
+def play_next_entry():
+    """The entry closes; its crowd moves on to the next, which has one of its
+    own."""
+    clients = crowd_whole() + crowd_idle()[::3] + crowd_whole(CALLERS_2)
+    stop_in_use("entry", clients[:BODIES])
+    close(clients[:BODIES])
+    clients = clients[BODIES:] + crowd_whole(CALLERS_2) + crowd_idle(CALLERS_2)
+    check("the next entry answers", wait_until(lambda: is_answered(CALLERS_2)))
+    start_again("entry")
+    wait_until(lambda: listens(CALLERS))
+    return clients + crowd_pieces()
+
+
+def play_reload():
+    """The settings change and the processes are told so, again and again."""
+    clients = []
+    for level in ("debug", "info") * 5:
+        for role in ("entry", "agent"):
+            with open(SETTINGS[role]) as file:
+                settings = json.load(file)
+            with open(SETTINGS[role], "w") as file:
+                json.dump(settings | {"log_level": level}, file)
+            os.kill(pids[role], signal.SIGHUP)
+        clients += crowd_whole()[::10] + crowd_idle()[::10]
+        os.kill(pids["entry"], signal.SIGHUP)
+    return clients
+
+
+def play_store_away():
+    """The table service is away while the crowd comes, and comes back."""
+    call(base, "PUT", "/down", "true")
+    clients = crowd_whole() + crowd_unread()
+    check("answered without the table service", wait_until(is_answered))
+    call(base, "PUT", "/down", "false")
+    return clients + crowd_pieces() + crowd_idle()
+
+
 def is_zombie(pid):
     try:
         with open(f"/proc/{pid}/stat") as stat:
@@ -437,6 +547,14 @@
     "readiness-port": lambda: crowd_whole(READY),
     "upstream-port": lambda: crowd_whole(AGENT_UPSTREAM),
     "agent-port": lambda: crowd_whole(AGENT_OWN),
+    "stop": play_stop,
+    "next-entry": play_next_entry,
+    "reload": play_reload,
+    "store-away": play_store_away,
+    "internal-idle": crowd_internal_idle,
+    "internal-frames": crowd_internal_frames,
+    "agent-internal-idle": lambda: crowd_internal_idle(AGENT_INTERNAL),
+    "agent-internal-frames": lambda: crowd_internal_frames(AGENT_INTERNAL),
     "tls-calm": play_tls_calm,
     "tls-pipelined": crowd_tls_pipelined,
     "tls-handshakes": crowd_tls_handshakes,
@@ -470,7 +588,7 @@
     check(f"descriptors of the {role}", most_descriptors[role] <= DESCRIPTORS,
           f"most: {most_descriptors[role]}")
 close(clients)
-if case == "restart":
-    os.kill(pids["entry"], 9)
+for process in started:
+    process.kill()
 print(len(failures), "faults")
 sys.exit(1 if failures else 0)
