link: frames are received within a budget for unproved connections

Seen: 600 connections to the internal port that open as our processes do take 622 descriptors of 400; 300 unfinished frames of 262,144 bytes 85,212 kB of 65,536, and frames may have 8 MB. Clients do not reach that port by the users' pages, but a wrong firewall rule is enough.

Cause: nng's PULL socket accepts and reads in threads of its own, with a limit for one message and none for their sum or for connections.

Change: frame_server.c receives on the loop, sp_reader.c reads nng's protocol over TCP. A connection that has not yet sent an authentic frame counts in a budget of its own, a sixth of the connections and a quarter of the memory of the one for clients; over it the oldest one or the largest unfinished frame goes. Sending stays with nng. A connection without a frame for 120 s is closed: its sender may have lost power, which nng's side never noticed.

Also fixed: test_httpd_tls did not build with clang.

--- a/base/include/base/counter.h
+++ b/base/include/base/counter.h
@@ -13,6 +13,8 @@
     X(bodies_refused, "requests refused because their body took memory")      \
     X(connections_evicted, "connections closed in favour of newer ones")      \
     X(connections_refused, "connections closed at once: all others in use")   \
+    X(links_evicted, "unproved connections of the internal port closed")      \
+    X(links_refused, "connections of the internal port closed as invalid")    \
     X(jobs_submitted, "jobs accepted by this entry as owner")                 \
     X(jobs_complete, "jobs answered complete")                                \
     X(jobs_failed, "jobs answered as failed")                                 \
--- a/shell/include/shell/intake.h
+++ b/shell/include/shell/intake.h
@@ -48,6 +48,10 @@
 void Intake_Init(struct intake *intake, uint64_t memory_mb,
                  uint64_t descriptors);
 
+/** Set the limits of a further budget to a part of those of `whole`. */
+void Intake_InitPart(struct intake *intake, const struct intake *whole,
+                     uint32_t connection_part, uint32_t memory_part);
+
 /** Add a connection, which waits for its client. The caller has set `evict`.
  * Returns -1 if there are too many and none waits for its client. */
 int Intake_Add(struct intake *intake, struct intake_item *item);
--- a/shell/include/shell/link.h
+++ b/shell/include/shell/link.h
@@ -1,6 +1,6 @@
 /** @file
- * Links to other processes: one nng PULL socket receives from all of them, and
- * one PUSH socket sends to each. Messages to a process are batched into a
+ * Links to other processes: a frame server receives from all of them, and one
+ * nng PUSH socket sends to each. Messages to a process are batched into a
  * frame that is sent by Link_Flush(), or earlier when it reaches 256 KiB.
  * Messages that cannot be sent are dropped. */
 #ifndef SHELL_LINK_H
@@ -11,7 +11,7 @@
 
 #include "base/counter.h"
 #include "base/tab.h"
-#include "shell/loop.h"
+#include "shell/frame_server.h"
 #include "wire/frame.h"
 
 /** Largest number of linked processes. */
@@ -41,8 +41,7 @@
 /** All links of a process. */
 struct links {
     struct loop *loop;
-    nng_socket socket;
-    struct lws_vhost *vhost;
+    struct frame_server server;
     struct frame_header header; /**< Of the frames sent. */
     struct key_secret secret;
     struct tab peers;
@@ -62,8 +61,8 @@
               const struct key_secret *secret, link_handler *handler,
               void *context, struct counters *counters, struct err *err);
 
-/** Close all links. The receiving socket stays open until the process
- * exits. */
+/** Close all links. The frame server is closed by Loop_Finish(), until which
+ * `links` must stay valid. */
 void Link_Finish(struct links *links);
 
 /** Connect to a process at `addr`, "ip:port", in the background. An existing
--- a/shell/src/intake.c
+++ b/shell/src/intake.c
@@ -54,6 +54,17 @@
     intake->max_items = max < UINT32_MAX ? (uint32_t)max : UINT32_MAX;
 }
 
+void
+Intake_InitPart(struct intake *intake, const struct intake *whole,
+                uint32_t connection_part, uint32_t memory_part)
+{
+    uint32_t max = whole->max_items / connection_part;
+    memset(intake, 0, sizeof(*intake));
+    intake->max_items = max > MIN_CONNECTIONS ? max : MIN_CONNECTIONS;
+    intake->max_held = (uint64_t)intake->max_items * CONNECTION_BYTES;
+    intake->max_bytes = whole->max_bytes / memory_part;
+}
+
 /* Evicts the connection that has waited longest for its client, but not
  * `except`. Returns -1 if none waits. */
 static int
--- a/shell/src/link.c
+++ b/shell/src/link.c
@@ -1,6 +1,5 @@
 #include "shell/link.h"
 
-#include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,7 +11,6 @@
 #define URL_SIZE (WIRE_ADDR_SIZE + 8)
 /* Frames that a socket buffers. Further frames to send are dropped. */
 #define SEND_BUFFER 64
-#define RECV_BUFFER 1024
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
 /* A batch of this size is sent without waiting for Link_Flush(). */
@@ -34,15 +32,16 @@
     links->handler(links->context, header, msg);
 }
 
-static void
-receive_frame(struct links *links, nng_msg *frame)
+static int
+receive_frame(void *context, const void *frame, size_t size)
 {
+    struct links *links = context;
     struct err err = {0};
     CTR_INC(links->counters, frames_received);
-    CTR_ADD(links->counters, bytes_received, nng_msg_len(frame));
-    if (Frame_Decode(nng_msg_body(frame), nng_msg_len(frame), &links->secret,
-                     receive_message, links, &err) == 0) {
-        return;
+    CTR_ADD(links->counters, bytes_received, size);
+    if (Frame_Decode(frame, size, &links->secret, receive_message, links,
+                     &err) == 0) {
+        return 0;
     }
     switch (err.code) {
     case CODE_BAD_MAC:
@@ -56,64 +55,8 @@
         break;
     }
     LOG_DEBUG("link", "Rejected an invalid frame: %s.", err.text);
-}
-
-static void
-drain_socket(struct links *links)
-{
-    nng_msg *frame;
-    while (nng_recvmsg(links->socket, &frame, NNG_FLAG_NONBLOCK) == 0) {
-        receive_frame(links, frame);
-        nng_msg_free(frame);
-    }
-}
-
-static int
-callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-         void *in, size_t len)
-{
-    struct lws_vhost *vhost = wsi ? lws_get_vhost(wsi) : NULL;
-    (void)user;
-    (void)in;
-    (void)len;
-    if (reason == LWS_CALLBACK_RAW_RX_FILE && vhost) {
-        drain_socket(lws_get_vhost_user(vhost));
-    }
-    return 0;
-}
-
-static const struct lws_protocols protocols[] = {
-    {"link", callback, 0, 0, 0, NULL, 0},
-    {NULL, NULL, 0, 0, 0, NULL, 0},
-};
-
-/* Makes the loop call drain_socket() when frames have arrived. */
-static int
-adopt_socket(struct links *links, struct err *err)
-{
-    struct lws_context_creation_info info = {0};
-    lws_sock_file_fd_type fd;
-    int number;
-    int status = nng_socket_get_int(links->socket, NNG_OPT_RECVFD, &number);
-    if (status) {
-        return Err_Set(err, CODE_SYSTEM,
-                       "cannot get the descriptor of the link socket: %s",
-                       nng_strerror(status));
-    }
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.vhost_name = "link";
-    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-    info.protocols = protocols;
-    info.user = links;
-    links->vhost = lws_create_vhost(links->loop->lws, &info);
-    fd.filefd = (lws_filefd_type)(long long)number;
-    if (!links->vhost ||
-        !lws_adopt_descriptor_vhost(links->vhost, LWS_ADOPT_RAW_FILE_DESC, fd,
-                                    "link", NULL)) {
-        return Err_Set(err, CODE_SYSTEM,
-                       "cannot add the link socket to the event loop");
-    }
-    return 0;
+    /* That is found in a frame whose signature matches. */
+    return err.code == CODE_BAD_VERSION ? 0 : -1;
 }
 
 int
@@ -122,7 +65,6 @@
           link_handler *handler, void *context, struct counters *counters,
           struct err *err)
 {
-    char url[URL_SIZE];
     memset(links, 0, sizeof(*links));
     links->loop = loop;
     links->header = *header;
@@ -134,18 +76,8 @@
         return Err_Set(err, CODE_NO_MEMORY, "no memory for %d links",
                        LINK_MAX_PEERS);
     }
-    snprintf(url, sizeof(url), "tcp://%s", listen);
-    int status = nng_pull0_open(&links->socket);
-    if (!status) {
-        nng_socket_set_int(links->socket, NNG_OPT_RECVBUF, RECV_BUFFER);
-        nng_socket_set_size(links->socket, NNG_OPT_RECVMAXSZ, FRAME_MAX_SIZE);
-        status = nng_listen(links->socket, url, NULL, 0);
-    }
-    if (status) {
-        return Err_Set(err, CODE_SYSTEM, "cannot listen on %s: %s", listen,
-                       nng_strerror(status));
-    }
-    return adopt_socket(links, err);
+    return Fs_Init(&links->server, loop, listen, receive_frame, links,
+                   counters, err);
 }
 
 static struct link_peer *
@@ -286,7 +218,5 @@
     while ((peer = Tab_Next(&links->peers, &slot))) {
         remove_peer(links, peer);
     }
-    /* The receiving socket stays open until the process exits: closing one
-     * while frames arrive makes nng 1.5.2 block forever. */
     Tab_Finish(&links->peers);
 }
--- a/tests/test_httpd_tls.c
+++ b/tests/test_httpd_tls.c
@@ -295,7 +295,7 @@
     (void)state;
     SSL_get0_alpn_selected(client.ssl, &selected, &size);
     assert_int_equal(size, HTTP1[0]);
-    assert_memory_equal(selected, HTTP1 + 1, size);
+    assert_memory_equal(selected, &HTTP1[1], size);
     handled_count = 0;
     send_bytes(&client, POST_HTTP1, sizeof(POST_HTTP1) - 1);
     run_server();
