--- a/scenarios/crowd.py
+++ b/scenarios/crowd.py
@@ -25,6 +25,8 @@
 FAT_JOBS = 200  # jobs with as much text and as many tasks as a job may have
 PIPELINING = 20  # connections with a request behind another one
 WAVES = 10
+LARGE_ANSWER = 15 << 20  # below the limit of one answer, 16 MiB
+CHANGES = 3
 MAX_BODY = 262144  # limits.maxBodyBytes of the configuration
 MEMORY_KB = 64 * 1024
 DESCRIPTORS = 400
@@ -45,6 +47,7 @@
 most_descriptors = dict.fromkeys(pids, 0)
 started = []
 last_job = [0]
+versions = [2]  # of the configuration
 
 
 def check(name, passed, seen=""):
@@ -262,6 +265,38 @@
     return clients
 
 
+def set_padding(store, upstream):
+    """The call itself is answered with the padding that it sets."""
+    call(base, "PUT", "/padding", json.dumps([store, upstream]))
+
+
+def play_large_rows():
+    """The table service sends far more than it should with each answer."""
+    set_padding(LARGE_ANSWER, 0)
+    for _ in range(CHANGES):
+        call(base, "PUT", "/op/config", configuration())
+        check("answered beside large answers", wait_until(is_answered))
+    set_padding(0, 0)
+    return []
+
+
+def play_large_orders():
+    """The upstream does so, while many starts are in progress."""
+    set_padding(0, LARGE_ANSWER)
+    clients = open_clients(CALLERS, PIPELINING)
+    body = job(tasks=8).encode()
+    for client in clients:
+        send(client, head(len(body)) + body)
+    for client in clients:
+        try:
+            client.recv(1)  # an answer of any kind
+        except OSError:
+            pass
+        watch()
+    set_padding(0, 0)
+    return clients
+
+
 def tls_context():
     context = ssl.create_default_context()
     context.check_hostname = False
@@ -551,6 +586,8 @@
     "next-entry": play_next_entry,
     "reload": play_reload,
     "store-away": play_store_away,
+    "large-rows": play_large_rows,
+    "large-orders": play_large_orders,
     "internal-idle": crowd_internal_idle,
     "internal-frames": crowd_internal_frames,
     "agent-internal-idle": lambda: crowd_internal_idle(AGENT_INTERNAL),
@@ -566,12 +603,17 @@
     "tls-unread": crowd_tls_unread,
 }
 
+def configuration():
+    versions[0] += 1
+    return json.dumps({
+        "version": versions[0], "limits": {"maxBodyBytes": MAX_BODY}, "services": [],
+        "routes": [{"name": "desk", "host": "desk.example", "prefix": "/desk/",
+                    "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60,
+                    "priority": 1, "service": "finishing", "maxAttempts": 3, "stretch": 1.6}]})
+
+
 resource.setrlimit(resource.RLIMIT_NOFILE, (4096, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
-call(base, "PUT", "/op/config", json.dumps({
-    "version": 3, "limits": {"maxBodyBytes": MAX_BODY}, "services": [],
-    "routes": [{"name": "desk", "host": "desk.example", "prefix": "/desk/",
-                "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60,
-                "priority": 1, "service": "finishing", "maxAttempts": 3, "stretch": 1.6}]}))
+call(base, "PUT", "/op/config", configuration())
 check("answered before the crowd", wait_until(is_answered))
 clients = CASES[case]()
 check("answered beside the crowd", wait_until(is_answered))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,6 +12,9 @@
                       the starts that exceeded an executor's CPU ("over")
   PUT /down BOOL      answer requests for rows with status 503
   PUT /quiet BOOL     stop the heartbeats of the first executor
+  PUT /padding [STORE, EXECUTORS]
+                      send so many bytes more with each answer of the table
+                      service and of the executors
   PUT /draining BOOL  set the state of the first executor to draining or ready
 """
 import base64
@@ -24,6 +27,7 @@
 import http.client
 
 CAPACITY = {"cpu": 8000, "requestedMemoryMb": 4096, "gpu": 0}
+PADDING = {"store": 0, "executor": 0}  # bytes that answers have in addition
 STOP_DELAY_S = 0.05  # time that a run takes to stop
 
 
@@ -178,8 +182,9 @@
     def log_message(self, *args):
         pass
 
-    def answer(self, status, body):
+    def answer(self, status, body, sender="store"):
         data = json.dumps(body).encode()
+        data += b" " * PADDING[sender]
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
@@ -231,6 +236,8 @@
                 store.is_down = json.loads(body)
             elif self.path == "/quiet":
                 executors[0].is_silent = json.loads(body)
+            elif self.path == "/padding":
+                PADDING["store"], PADDING["executor"] = json.loads(body)
             elif self.path == "/draining":
                 executors[0].state = "draining" if json.loads(body) else "ready"
                 executors[0].send_heartbeat()
@@ -250,7 +257,8 @@
             meant = self.headers.get("Jacinthpick-Expected-Instance")
             status, body = (executor.order(self.path, order)
                             if meant in (None, f"i-{executor.number}") else (421, {}))
-            self.answer(status, body | {"clockMs": clock_ms(), "born": executor.born})
+            self.answer(status, body | {"clockMs": clock_ms(), "born": executor.born},
+                        "executor")
 
     return ExecutorHandler
 
