httpc: answers that are being read share a budget

Seen: an upstream that adds 15 MB to each answer, while 20 callers have starts in progress, takes its agent to 87,964 kB of 65,536.

Cause: one answer is bounded, 16 MB; their sum is not, and an agent has up to 64 connections to its upstream.

Change: the readers of all HTTP clients of a process share an eighth of memory_mb. Over it the largest answer is dropped and its call counts as unanswered, which every caller handles; of equal ones the one that grows is dropped, so that some are completed. At 64 MB one answer may have 8 MB instead of 16, at 128 MB and more 16 as before.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -330,8 +330,8 @@
     if (Loop_Init(&daemon->loop, err)) {
         return -1;
     }
-    Intake_Init(&daemon->loop.intake, (uint64_t)settings->memory_mb,
-                (uint64_t)settings->descriptors);
+    Loop_SetLimits(&daemon->loop, (uint64_t)settings->memory_mb,
+                   (uint64_t)settings->descriptors);
     if (Link_Init(&daemon->links, &daemon->loop, settings->listen_internal,
                   &header, &daemon->secret, on_message, daemon,
                   &daemon->counters, err) ||
--- a/fuzz/fuzz_sp.c
+++ b/fuzz/fuzz_sp.c
@@ -40,15 +40,15 @@
     for (size_t used = 0; used < size && reader.state != SP_INVALID;) {
         size_t left = size - used < piece ? size - used : piece;
         size_t got = Sp_Read(&reader, data + used, left);
-        if (got > left ||
-            (got < left && !reader.message && reader.state != SP_INVALID)) {
+        if (got > left || (got < left && !reader.is_complete &&
+                           reader.state != SP_INVALID)) {
             abort();
         }
         if (reader.room > 2 * (reader.used + 512)) {
             abort();
         }
         used += got;
-        if (reader.message) {
+        if (reader.is_complete) {
             add(report, &reader);
             Sp_DropMessage(&reader);
         }
--- a/shell/include/shell/intake.h
+++ b/shell/include/shell/intake.h
@@ -39,6 +39,8 @@
     uint64_t bytes;
     uint64_t held;
     uint32_t items;
+    int keeps_equal; /**< A connection that grows does not evict one that is
+                          as large as itself, so that some are completed. */
     struct intake_item *waiting; /**< Those that wait longest are first. */
 };
 
--- a/shell/include/shell/loop.h
+++ b/shell/include/shell/loop.h
@@ -21,12 +21,21 @@
     loop_flush *flush;
     void *flush_context;
     int stopping;
-    struct intake intake; /**< Shared by the HTTP servers of the process. */
+    struct intake intake;  /**< Shared by the HTTP servers of the process. */
+    struct intake replies; /**< Memory of unfinished answers, shared by its
+                                HTTP clients. */
+    uint64_t reply_logged_us; /**< Latest log line about a dropped answer. */
 };
 
 /** Initialise the loop. Error: CODE_SYSTEM. */
 int Loop_Init(struct loop *loop, struct err *err);
 
+/** Set the limits of its budgets for a machine with `memory_mb` of memory and
+ * a process with `descriptors` descriptors, 0 for those of the operating
+ * system. To be called before servers and clients are initialised. */
+void Loop_SetLimits(struct loop *loop, uint64_t memory_mb,
+                    uint64_t descriptors);
+
 /** Free the loop and close all its connections and timers. */
 void Loop_Finish(struct loop *loop);
 
--- a/shell/include/shell/sp_reader.h
+++ b/shell/include/shell/sp_reader.h
@@ -32,8 +32,8 @@
     unsigned char *buffer;        /**< What has been read of it. */
     size_t used;                  /**< Bytes in the buffer. */
     size_t room;                  /**< Size of the buffer. */
-    const unsigned char *message; /**< The complete message, NULL if there is
-                                       none. */
+    int is_complete;              /**< A message has been read. */
+    const unsigned char *message; /**< That message. */
     size_t message_size;
 };
 
@@ -48,8 +48,8 @@
 void Sp_DropMessage(struct sp_reader *reader);
 
 /** Read `size` bytes at `data`, up to the end of a message. Returns the number
- * of bytes used; `message` says whether one is complete. The buffer grows with
- * what has been read, not with the length that was announced. */
+ * of bytes used; `is_complete` says whether it was reached. The buffer grows
+ * with what has been read, not with the length that was announced. */
 size_t Sp_Read(struct sp_reader *reader, const void *data, size_t size);
 
 #endif
--- a/shell/src/frame_server.c
+++ b/shell/src/frame_server.c
@@ -92,7 +92,7 @@
             CTR_INC(source->server->counters, links_refused);
             return -1;
         }
-        if (source->reader.message) {
+        if (source->reader.is_complete) {
             on_frame(source);
         }
     }
--- a/shell/src/httpc.c
+++ b/shell/src/httpc.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/addr.h"
+#include "base/log.h"
 #include "shell/http_reply.h"
 #include "shell/httpd.h"
 #include "shell/tls.h"
@@ -17,6 +18,8 @@
 #define IDLE_TIMEOUT_S 20
 #define HEAD_SIZE 1024
 #define BUFFER_SIZE 4096
+/* Shortest time between two log lines about dropped answers. */
+#define LOG_INTERVAL_US US_PER_S
 
 /* A persistent connection and the call in progress on it. */
 struct hc_conn {
@@ -36,6 +39,7 @@
     unsigned char *request; /* LWS_PRE bytes, then head and body. */
     size_t request_size;
     struct hr_reader reply;
+    struct intake_item item; /* Memory of the reply, in loop.replies. */
     /* For the next step of a call, its timeout or that of the idle
      * connection. */
     lws_sorted_usec_list_t timer;
@@ -65,6 +69,14 @@
     close_conn(lws_container_of(sul, struct hc_conn, timer));
 }
 
+static void
+release_reply(struct hc_conn *conn)
+{
+    struct intake *replies = &conn->httpc->loop->replies;
+    Intake_SetWaiting(replies, &conn->item, 0);
+    Intake_Release(replies, &conn->item);
+}
+
 static void
 finish_call(struct hc_conn *conn, int status)
 {
@@ -78,6 +90,7 @@
     free(conn->request);
     conn->request = NULL;
     Hr_Init(&conn->reply);
+    release_reply(conn);
     conn->busy = 0;
     set_timer(conn, on_idle, IDLE_TIMEOUT_S * LWS_US_PER_SEC);
     conn->done(conn->context, &result);
@@ -100,6 +113,57 @@
     set_timer(conn, on_failure, 1);
 }
 
+static void
+log_dropped_reply(const struct hc_conn *conn)
+{
+    struct loop *loop = conn->httpc->loop;
+    uint64_t now_us = Loop_Now().us;
+    if (now_us - loop->reply_logged_us < LOG_INTERVAL_US) {
+        return;
+    }
+    loop->reply_logged_us = now_us;
+    LOG_WARN("http",
+             "Answer of another server is dropped: answers in progress take "
+             "all memory for them. address=%s bytes=%u limit_bytes=%llu",
+             conn->addr, conn->reply.body_size,
+             (unsigned long long)loop->replies.max_bytes);
+}
+
+/* Frees what has been read at once, so that other answers can go on. */
+static void
+drop_reply(struct hc_conn *conn)
+{
+    log_dropped_reply(conn);
+    Hr_Finish(&conn->reply);
+    Hr_Init(&conn->reply);
+    conn->reply.state = HR_INVALID;
+    release_reply(conn);
+}
+
+static void
+evict(struct intake_item *item, enum intake_reason reason)
+{
+    struct hc_conn *conn = lws_container_of(item, struct hc_conn, item);
+    (void)reason;
+    drop_reply(conn);
+    close_conn(conn);
+    fail_call(conn);
+}
+
+/* Counts what the reader has allocated. */
+static int
+reserve_reply(struct hc_conn *conn)
+{
+    uint64_t room = conn->reply.body_room;
+    if (room <= conn->item.bytes ||
+        Intake_Reserve(&conn->httpc->loop->replies, &conn->item,
+                       room - conn->item.bytes) == 0) {
+        return 0;
+    }
+    drop_reply(conn);
+    return -1;
+}
+
 static void
 on_reply(struct hc_conn *conn)
 {
@@ -115,7 +179,7 @@
 read_reply(struct hc_conn *conn, const void *data, size_t size)
 {
     if (!conn->busy || !conn->sent ||
-        Hr_Read(&conn->reply, data, size) != size) {
+        Hr_Read(&conn->reply, data, size) != size || reserve_reply(conn)) {
         return -1;
     }
     switch (conn->reply.state) {
@@ -463,6 +527,8 @@
         return -1;
     }
     Hr_Init(&conn->reply);
+    conn->item.evict = evict;
+    Intake_SetWaiting(&httpc->loop->replies, &conn->item, 1);
     conn->busy = 1;
     conn->sent = 0;
     conn->refused = 0;
--- a/shell/src/intake.c
+++ b/shell/src/intake.c
@@ -159,8 +159,8 @@
 {
     while (intake->bytes + bytes > intake->max_bytes) {
         struct intake_item *largest = find_largest(intake);
-        if (!largest || largest == item ||
-            largest->bytes < item->bytes + bytes) {
+        uint64_t least = item->bytes + bytes + (intake->keeps_equal ? 1 : 0);
+        if (!largest || largest == item || largest->bytes < least) {
             return -1;
         }
         largest->evict(largest, INTAKE_MEMORY);
--- a/shell/src/loop.c
+++ b/shell/src/loop.c
@@ -12,6 +12,9 @@
 #define LWS_TIMEOUT_S 7200
 /* Bytes of all headers of a request. */
 #define MAX_HEADER_BYTES 16384u
+/* Part of the memory for clients' bodies that answers to our own calls may
+ * take. */
+#define REPLY_PART 2
 
 static int
 on_timer(struct lws *wsi, enum lws_callback_reasons reason, void *user,
@@ -51,7 +54,7 @@
 {
     struct lws_context_creation_info info = {0};
     memset(loop, 0, sizeof(*loop));
-    Intake_Init(&loop->intake, 0, 0);
+    Loop_SetLimits(loop, 0, 0);
     lws_set_log_level(LLL_ERR, NULL);
     info.options =
         LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
@@ -65,6 +68,14 @@
     return 0;
 }
 
+void
+Loop_SetLimits(struct loop *loop, uint64_t memory_mb, uint64_t descriptors)
+{
+    Intake_Init(&loop->intake, memory_mb, descriptors);
+    Intake_InitPart(&loop->replies, &loop->intake, 1, REPLY_PART);
+    loop->replies.keeps_equal = 1;
+}
+
 void
 Loop_Finish(struct loop *loop)
 {
--- a/shell/src/settings.c
+++ b/shell/src/settings.c
@@ -95,8 +95,8 @@
      NULL, "processes that an entry knows at once"},
     {"memory_mb", KIND_INT, AT(memory_mb), 0, 16777216, 0, NULL, NULL,
      "memory of the machine in MiB, of which a quarter may be taken by "
-     "unfinished requests and a quarter by connections; 0 for what the "
-     "operating system reports"},
+     "unfinished requests, a quarter by connections and an eighth by answers "
+     "to own calls; 0 for what the operating system reports"},
     {"descriptors", KIND_INT, AT(descriptors), 0, 16777216, 0, NULL, NULL,
      "descriptors of the process; 200 and a quarter of the rest are not used "
      "for clients; 0 for the limit of the operating system"},
--- a/shell/src/sp_reader.c
+++ b/shell/src/sp_reader.c
@@ -30,7 +30,7 @@
 void
 Sp_DropMessage(struct sp_reader *reader)
 {
-    reader->message = NULL;
+    reader->is_complete = 0;
     Sp_Finish(reader);
 }
 
@@ -94,6 +94,7 @@
 static void
 end_message(struct sp_reader *reader, const unsigned char *message)
 {
+    reader->is_complete = 1;
     reader->message = message;
     reader->message_size = reader->size;
     reader->state = SP_LENGTH;
@@ -127,7 +128,7 @@
 {
     const unsigned char *p = data;
     size_t used = 0;
-    while (!reader->message && reader->state != SP_INVALID) {
+    while (!reader->is_complete && reader->state != SP_INVALID) {
         if (reader->state == SP_MESSAGE) {
             if (used == size && reader->used < reader->size) {
                 break;
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -1,5 +1,6 @@
 /* Calls of the HTTP client over connections that the server resets, leaves
- * unanswered or refuses, each repeated as soon as it has ended. */
+ * unanswered or refuses, each repeated as soon as it has ended; answers that
+ * are large together, which could take the memory of the machine. */
 #include <fcntl.h>
 #include <poll.h>
 #include <setjmp.h>
@@ -20,6 +21,7 @@
 #include <cmocka.h>
 
 #include "shell/httpc.h"
+#include "shell/httpd.h"
 
 #define PORT 20710
 /* Calls in progress, connections of the client, and of the server at most. */
@@ -395,6 +397,72 @@
     assert_int_equal(ended_in_call, 0);
 }
 
+/* -- Answers that are large together, from a server on the same loop. */
+
+static struct httpd large_server;
+
+static void
+answer_with_spaces(void *context, const struct hs_request *request)
+{
+    size_t size = (size_t)strtoul(request->path + 1, NULL, 10);
+    char *text = calloc(1, size + 1);
+    (void)context;
+    assert_non_null(text);
+    memset(text, ' ', size);
+    assert_int_equal(Hs_ReplyJson(&large_server, request->conn, 200, text), 0);
+    free(text);
+}
+
+static void
+call_for(const char *addr, const char *path, int count)
+{
+    struct hc_call call = {
+        .addr = addr,
+        .method = "GET",
+        .path = path,
+        .timeout_ms = 60000,
+        .done = on_answer,
+    };
+    begun = ended = answered = 0;
+    for (; begun < count; begun++) {
+        assert_int_equal(Hc_Call(&client, &call), 0);
+    }
+    while (ended < begun) {
+        assert_true(lws_service(loop.lws, -1) >= 0);
+        assert_true(loop.replies.bytes <= loop.replies.max_bytes);
+    }
+    assert_true(loop.replies.bytes == 0);
+}
+
+/* An answer alone may take what many small ones do not need. */
+static void
+answers_that_are_too_large_together_are_dropped(void **state)
+{
+    struct counters counters = {0};
+    struct err err = {0};
+    char addr[sizeof(server_addr) + 1];
+    (void)state;
+    snprintf(addr, sizeof(addr), "%s", server_addr);
+    snprintf(strchr(addr, ':'), 7, ":%d", PORT + 1);
+    begin_client(8);
+    Loop_SetLimits(&loop, 64, 400);
+    assert_int_equal(Hs_Init(&large_server, &loop, addr, NULL, NULL,
+                             answer_with_spaces, NULL, NULL, &counters, &err),
+                     0);
+    call_for(addr, "/4000000", 8);
+    assert_true(answered > 0);
+    assert_true(answered < 8);
+    call_for(addr, "/4000000", 1);
+    assert_int_equal(answered, 1);
+    call_for(addr, "/9000000", 1);
+    assert_int_equal(answered, 0);
+    call_for(addr, "/4000", 8);
+    assert_int_equal(answered, 8);
+    Loop_Finish(&loop);
+    Hc_Finish(&client);
+    Hs_Finish(&large_server);
+}
+
 static void
 choose_address(void)
 {
@@ -417,6 +485,7 @@
         cmocka_unit_test(calls_are_repeated_while_some_are_not_answered),
         cmocka_unit_test(calls_are_repeated_after_a_part_of_an_answer),
         cmocka_unit_test(calls_are_repeated_while_all_connections_are_reset),
+        cmocka_unit_test(answers_that_are_too_large_together_are_dropped),
     };
     choose_address();
     return cmocka_run_group_tests(tests, NULL, NULL);
