intake: budgets follow the limits of the process and its control group

Without memory_mb the budget for unfinished requests is a quarter of the whole machine's memory: 700 bodies took 190 to 199 MB, also where the process may have far less. Both templates of deploy/ set memory_mb; other deployments may not.

Change: 0 now means the least of the machine's memory, the limits on address space and data, and memory.max or memory.limit_in_bytes of the process's control group and those above it.

budgets_follow_the_limits_of_the_process failed at the parent commit, where the budget did not depend on those limits; it holds now, as do the tests of the control groups' files, on files of the test's own: this machine sets no limit.

--- a/shell/src/intake.c
+++ b/shell/src/intake.c
@@ -5,9 +5,10 @@
 
 #include <string.h>
 #include <sys/resource.h>
-#include <unistd.h>
 #include <utlist.h>
 
+#include "shell/system_memory.h"
+
 /* Part of the memory for unfinished requests. The rest is for the work of the
  * process itself. */
 #define MEMORY_PART 4
@@ -20,15 +21,6 @@
 /* Connections that are allowed however small the machine is. */
 #define MIN_CONNECTIONS 16
 
-static uint64_t
-system_memory(void)
-{
-    long pages = sysconf(_SC_PHYS_PAGES);
-    long size = sysconf(_SC_PAGESIZE);
-    return pages > 0 && size > 0 ? (uint64_t)pages * (uint64_t)size
-                                 : UINT32_MAX;
-}
-
 static uint64_t
 system_descriptors(void)
 {
@@ -39,7 +31,7 @@
 void
 Intake_Init(struct intake *intake, uint64_t memory_mb, uint64_t descriptors)
 {
-    uint64_t memory = memory_mb ? memory_mb << 20 : system_memory();
+    uint64_t memory = memory_mb ? memory_mb << 20 : Sysmem_Limit("");
     memset(intake, 0, sizeof(*intake));
     intake->max_bytes = memory / MEMORY_PART;
     descriptors = descriptors ? descriptors : system_descriptors();
