httpd: clients that do not read their answers can be evicted

Cause: a complete request is not evicted. That did not end when its answer was there and the socket took no more, or when an answer could not be begun because the buffers were full of earlier ones; no time was set for either.

Change: from the answer on it is the client's turn. It is evicted as others that wait, in the order of their latest progress, and has 30 s for each part. Head and body are written in one turn, as a head alone could fill the buffers.

--- a/scenarios/crowd.py
+++ b/scenarios/crowd.py
@@ -110,6 +110,13 @@
         return False
 
 
+def is_own_answered():
+    try:
+        return call(OWN, "GET", "/v1/health")[0] == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
 def wait_until(condition):
     """Tries again as a caller would. The limit only ends a test of a process
     that hangs."""
@@ -136,10 +143,12 @@
     return job().encode().ljust(size)
 
 
-def open_clients(port, count):
+def open_clients(port, count, receive_buffer=None):
     clients = []
     for _ in range(count):
         client = socket.socket()
+        if receive_buffer:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         client.settimeout(10)
         try:
             client.connect(("127.0.0.1", port))
@@ -220,6 +229,30 @@
     return clients
 
 
+def is_idle(role):
+    """The process has next to nothing to do: no more of the crowd's requests
+    can be answered."""
+    def ticks():
+        with open(f"/proc/{pids[role]}/stat") as stat:
+            return sum(map(int, stat.read().rsplit(")", 1)[1].split()[11:13]))
+    before = ticks()
+    time.sleep(1)
+    return ticks() - before < os.sysconf("SC_CLK_TCK") // 10
+
+
+def crowd_unread_answers(port=OWN):
+    """Each asks for far more than the buffers of a connection hold, and reads
+    nothing."""
+    clients = []
+    ask = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" * 2000
+    for _ in range(BODIES):
+        for client in open_clients(port, 1, receive_buffer=4096):
+            send(client, ask)
+            clients.append(client)
+    wait_until(lambda: is_idle("entry"))
+    return clients
+
+
 def crowd_jobs():
     """Complete jobs that a caller may send, all at once."""
     clients = open_clients(CALLERS, FAT_JOBS)
@@ -586,6 +619,7 @@
     "next-entry": play_next_entry,
     "reload": play_reload,
     "store-away": play_store_away,
+    "unread-answers": crowd_unread_answers,
     "large-rows": play_large_rows,
     "large-orders": play_large_orders,
     "internal-idle": crowd_internal_idle,
@@ -619,6 +653,8 @@
 check("answered beside the crowd", wait_until(is_answered))
 check("the agent is ready beside the crowd",
       wait_until(is_ready))
+if not case.startswith("tls-"):
+    check("the own port answers beside the crowd", wait_until(is_own_answered))
 if case.startswith("tls-"):
     check("answered over TLS beside the crowd", wait_until(is_answered_over_tls))
 watch()
--- a/shell/src/httpd.c
+++ b/shell/src/httpd.c
@@ -49,6 +49,15 @@
     }
 }
 
+void
+Hsi_WaitForClient(struct httpd *httpd, struct lws *wsi,
+                  struct intake_item *item, int seconds)
+{
+    Intake_SetWaiting(&httpd->loop->intake, item, 0);
+    Intake_SetWaiting(&httpd->loop->intake, item, 1);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, seconds);
+}
+
 struct conn *
 Hsi_Begin(struct httpd *httpd, struct lws *wsi)
 {
@@ -201,7 +210,7 @@
 Hsi_Dispatch(struct httpd *httpd, tab_handle *handle)
 {
     struct conn *conn = Tab_Get(&httpd->conns, *handle);
-    if (conn->item) {
+    if (!conn->is_refused) {
         Intake_SetWaiting(&httpd->loop->intake, conn->item, 0);
     }
     if (has_client_left(conn->wsi)) {
@@ -368,6 +377,9 @@
     conn->status = reply->status;
     conn->retry_after_s = reply->retry_after_s;
     strncpy(conn->type, reply->type, sizeof(conn->type) - 1);
+    /* A socket whose buffers are full is not writable until the client reads
+     * the answers before this one. */
+    Hsi_WaitForClient(httpd, conn->wsi, conn->item, HSI_ANSWER_TIMEOUT_S);
     lws_callback_on_writable(conn->wsi);
     return 0;
 }
--- a/shell/src/httpd_conn.c
+++ b/shell/src/httpd_conn.c
@@ -72,23 +72,18 @@
 {
     struct peer *peer = lws_container_of(item, struct peer, item);
     struct conn *conn = get_conn(peer);
-    switch (reason) {
-    case INTAKE_MEMORY:
-        if (conn) {
-            Hsi_EvictConn(conn);
-        }
-        break;
-    case INTAKE_CONNECTIONS:
-        /* Closed before the new connection is accepted, so that a burst of
-         * them does not exceed the limit. No event of this one is being
-         * handled. With output left it is closed in the next iteration. */
-        CTR_INC(peer->httpd->counters, connections_evicted);
-        peer->is_evicted = 1;
-        Intake_Remove(&peer->httpd->loop->intake, &peer->item);
-        shutdown(lws_get_socket_fd(peer->wsi), SHUT_RDWR);
-        lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
-        break;
+    if (reason == INTAKE_MEMORY && conn && !conn->reply) {
+        Hsi_EvictConn(conn);
+        return;
     }
+    /* Closed before the new connection is accepted, so that a burst of them
+     * does not exceed the limit. No event of this one is being handled. With
+     * output left it is closed in the next iteration. */
+    CTR_INC(peer->httpd->counters, connections_evicted);
+    peer->is_evicted = 1;
+    Intake_Remove(&peer->httpd->loop->intake, &peer->item);
+    shutdown(lws_get_socket_fd(peer->wsi), SHUT_RDWR);
+    lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
 }
 
 /* Events of the reader; a result other than 0 makes the request invalid. */
@@ -427,9 +422,8 @@
         Tls_Shutdown(&peer->tls);
         send_tls(peer);
     }
-    Intake_SetWaiting(&peer->httpd->loop->intake, &peer->item, 1);
     shutdown(lws_get_socket_fd(peer->wsi), SHUT_WR);
-    lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LINGER_S);
+    Hsi_WaitForClient(peer->httpd, peer->wsi, &peer->item, LINGER_S);
 }
 
 /* Reads what has been decrypted. A paused connection keeps the rest until that
@@ -511,8 +505,7 @@
         return 0;
     }
     Hq_Resume(&peer->reader);
-    Intake_SetWaiting(&httpd->loop->intake, &peer->item, 1);
-    lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, IDLE_TIMEOUT_S);
+    Hsi_WaitForClient(peer->httpd, peer->wsi, &peer->item, IDLE_TIMEOUT_S);
     return read_ahead(peer);
 }
 
@@ -583,19 +576,13 @@
     if (!conn || !conn->reply) {
         return 0;
     }
-    if (!conn->headers_sent) {
-        if (send_head(peer, conn)) {
-            return -1;
-        }
-        if (conn->reply_size) {
-            lws_callback_on_writable(peer->wsi);
-            return 0;
-        }
-    }
-    if (send_body(peer, conn)) {
+    if ((!conn->headers_sent && send_head(peer, conn)) ||
+        send_body(peer, conn)) {
         return -1;
     }
     if (conn->reply_size || lws_partial_buffered(peer->wsi)) {
+        Hsi_WaitForClient(peer->httpd, peer->wsi, &peer->item,
+                          HSI_ANSWER_TIMEOUT_S);
         lws_callback_on_writable(peer->wsi);
         return 0;
     }
--- a/shell/src/httpd_impl.h
+++ b/shell/src/httpd_impl.h
@@ -12,6 +12,8 @@
 /* Time without a byte of an unfinished body after which a connection is
  * closed. */
 #define HSI_BODY_TIMEOUT_S 30
+/* Time without progress in which a client has to read a part of its answer. */
+#define HSI_ANSWER_TIMEOUT_S 30
 
 /* A connection with a request in progress. */
 struct conn {
@@ -69,6 +71,11 @@
  * request. Returns 1 if the connection is to be closed. */
 int Hsi_Complete(struct httpd *httpd, tab_handle *handle);
 
+/* It is the turn of a connection's client from now on, for so many seconds at
+ * most. */
+void Hsi_WaitForClient(struct httpd *httpd, struct lws *wsi,
+                       struct intake_item *item, int seconds);
+
 /* Evicts a request or a connection, see intake.h. */
 void Hsi_EvictConn(struct conn *conn);
 
