--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -332,6 +333,66 @@
         return 200, {}
 
 
+# The platform's address for clients.
+
+
+class Balancer:
+    """Forwards connections of one client to an entry: the first one, until a
+    connection to it was reset; a retry reaches the next one."""
+
+    def __init__(self, world):
+        self.world = world
+        self.node = 0
+        self.resets_next = False  # the next connection, before anything passes
+        self.open = set()
+
+    async def start(self):
+        server = await asyncio.start_server(self.forward, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    @staticmethod
+    def abort(writer):
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    def reset_all(self):
+        """Resets the open connections, on both sides."""
+        self.world.record(f"connections to {self.world.entries[self.node].name} are reset")
+        for writer in list(self.open):
+            self.abort(writer)
+        self.node = (self.node + 1) % len(self.world.entries)
+
+    async def forward(self, reader, writer):
+        if self.resets_next:
+            self.resets_next = False
+            self.world.record(f"a connection to {self.world.entries[self.node].name} is reset")
+            self.node = (self.node + 1) % len(self.world.entries)
+            self.abort(writer)
+            return
+        entry = self.world.entries[self.node]
+        self.world.record(f"balancer: connection to {entry.name}")
+        try:
+            from_entry, to_entry = await asyncio.open_connection("127.0.0.1", entry.front)
+        except OSError:
+            writer.close()
+            return
+        self.open |= {writer, to_entry}
+
+        async def pump(source, sink):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except OSError:
+                pass
+            finally:
+                sink.close()
+
+        await asyncio.gather(pump(reader, to_entry), pump(from_entry, writer))
+        self.open -= {writer, to_entry}
+
+
 # The processes of the system.
 
 
