follow: a configuration has the version of the read that it is made of

Callers saw: after a data centre was taken back into service while no entry ran, its upstreams were never used again.

Cause: the version of the configuration was the highest version of the rows that it is made of. The removal of an evacuation raises it only at an entry that receives the removal as a change. An entry that starts afterwards reads the remaining rows, and their version is below that of the evacuation which the agents still have. It sends them nothing, as theirs is newer, and they would ignore it.

Agents did not log their configuration; they do now.

Change: after a complete read of the operator's table the configuration has the version of the table service at that read, and it is delivered at the end of the read, not after each page. Versions of rows and of reads are of one counter, so the higher version is always the newer content. The same holds for an entry that is up and has its configuration from another entry. Routes keep the version of their own row, so that a read does not send them to all entries again.

--- a/daemon/agent_config.c
+++ b/daemon/agent_config.c
@@ -86,6 +86,11 @@
     }
     ac->config = ac->scratch;
     apply(ac, now);
+    LOG_INFO("config",
+             "Configuration is in force. version=%llu exceptions=%u "
+             "out_of_service=%d",
+             (unsigned long long)ac->config.version,
+             ac->config.exception_count, ac->core->out_of_service);
 }
 
 void
--- a/shell/src/follow.c
+++ b/shell/src/follow.c
@@ -45,9 +45,22 @@
 }
 
 static void
-apply_operator_rows(struct store *store, const json_t *list)
+deliver_operator_rows(struct store *store)
+{
+    json_t *rows = Pf_WriteOwnRows(&store->operator_rows);
+    if (rows) {
+        deliver_rows(store, rows);
+        json_decref(rows);
+    }
+}
+
+/* Rows of a full read are delivered at its end, as what its pages hold so far
+ * is not the content of any version. */
+static void
+apply_operator_rows(struct store_feed *feed, const json_t *list)
 {
     struct err err = {0};
+    struct store *store = feed->store;
     if (Pf_ApplyOperatorRows(&store->operator_rows, list, &err) < 0) {
         CTR_INC(store->counters, config_corrupt);
         LOG_ERROR("config",
@@ -55,10 +68,8 @@
                   "fault=\"%s\"",
                   err.text);
     }
-    json_t *rows = Pf_WriteOwnRows(&store->operator_rows);
-    if (rows) {
-        deliver_rows(store, rows);
-        json_decref(rows);
+    if (!feed->is_full_read) {
+        deliver_operator_rows(store);
     }
 }
 
@@ -79,7 +90,7 @@
         }
     }
     if (feed->table == PF_TABLE_OPERATOR) {
-        apply_operator_rows(feed->store, list);
+        apply_operator_rows(feed, list);
     }
     else {
         deliver_rows(feed->store, list);
@@ -122,6 +133,22 @@
     }
 }
 
+static void
+finish_full_read(struct store_feed *feed, uint64_t version)
+{
+    struct store *store = feed->store;
+    add_removals(feed, version);
+    feed->is_full_read = 0;
+    feed->after = version;
+    if (feed->table == PF_TABLE_OPERATOR) {
+        Pf_CompleteOperatorRows(&store->operator_rows, version);
+        deliver_operator_rows(store);
+    }
+    json_t *no_rows = json_array();
+    deliver_rows(store, no_rows);
+    json_decref(no_rows);
+}
+
 static void
 apply_answer(struct store_feed *feed, const struct pf_rows *rows)
 {
@@ -143,12 +170,7 @@
         apply_rows(feed, rows->list);
     }
     if (!rows->has_more) {
-        add_removals(feed, rows->version);
-        feed->is_full_read = 0;
-        feed->after = rows->version;
-        json_t *no_rows = json_array();
-        deliver_rows(feed->store, no_rows);
-        json_decref(no_rows);
+        finish_full_read(feed, rows->version);
     }
 }
 
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -2,7 +2,9 @@
  *
  * Guards against a start that waits for the whole time-out of a call because
  * its connection has become silent, while a new connection would be served;
- * and against answers that arrive after a later one was applied. */
+ * against answers that arrive after a later one was applied; and against a
+ * configuration that others take for an older one than they have, because a
+ * row was removed before the start. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -32,34 +34,66 @@
 static int silent_count; /* Number of requests that get no answer at first. */
 static int delivered;
 static uint64_t delivered_version;
+static const char *operator_rows; /* Rows of the operator's table. */
+static uint64_t config_version;   /* Of the row last delivered, 0 for none. */
+static uint64_t routes_version;   /* Likewise. */
+static int lost_feeds;            /* Number of feeds answered with 410. */
+static unsigned read_version;     /* Of the answers to full reads. */
 
 static void
-answer(conn_id conn, unsigned version)
+answer_rows(conn_id conn, const char *rows, unsigned version)
 {
-    char body[128];
+    char body[512];
     snprintf(body, sizeof(body),
-             "{\"rows\":[],\"hasMore\":false,\"versionNumber\":%u,"
+             "{\"rows\":[%s],\"hasMore\":false,\"versionNumber\":%u,"
              "\"nowMs\":1}",
-             version);
+             rows, version);
     Hs_ReplyJson(&server, conn, 200, body);
 }
 
+static void
+answer(conn_id conn, unsigned version)
+{
+    answer_rows(conn, "", version);
+}
+
 static void
 on_request(void *context, const struct hs_request *request)
 {
     (void)context;
     assert_true(request_count < MAX_REQUESTS);
     requests[request_count++] = request->conn;
-    if (request_count > silent_count && !strstr(request->path, "feed")) {
-        answer(request->conn, 9);
+    if (strstr(request->path, "feed")) {
+        if (lost_feeds > 0) {
+            lost_feeds--;
+            read_version = 12;
+            Hs_ReplyJson(&server, request->conn, 410, "{}");
+        }
+    }
+    else if (request_count > silent_count) {
+        answer_rows(request->conn,
+                    strstr(request->query, "table=op") ? operator_rows : "",
+                    read_version);
     }
 }
 
 static void
 on_rows(void *context, const struct store_result *result)
 {
+    size_t i;
+    const json_t *row;
     (void)context;
     assert_int_equal(result->code, CODE_OK);
+    json_array_foreach(json_object_get(result->body, "rows"), i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+        uint64_t version =
+            (uint64_t)json_integer_value(json_object_get(row, "version"));
+        config_version =
+            strcmp(key, PF_ROW_CONFIG) == 0 ? version : config_version;
+        routes_version =
+            strcmp(key, PF_ROW_ROUTES) == 0 ? version : routes_version;
+    }
     delivered++;
     delivered_version =
         (uint64_t)json_integer_value(json_object_get(result->body, "version"));
@@ -82,7 +116,10 @@
     alarm(TIMEOUT_S);
     memset(&counters, 0, sizeof(counters));
     request_count = silent_count = delivered = 0;
-    delivered_version = 0;
+    delivered_version = config_version = routes_version = 0;
+    operator_rows = "";
+    lost_feeds = 0;
+    read_version = 9;
     snprintf(listen_addr, sizeof(listen_addr), "127.%u.%u.%u:%d",
              1 + (pid >> 16 & 63), pid >> 8 & 255, 1 + (pid & 255) % 254,
              PORT + round++);
@@ -166,6 +203,43 @@
     }
 }
 
+/* {"routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s"}]} */
+#define CONFIG                                                                \
+    "{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"versionNumber\":4," \
+    "\"value\":\"eyJyb3V0ZXMiOiBbeyJuYW1lIjogInIiLCAiaG9zdCI6ICJoIiwgInByZ"   \
+    "WZpeCI6ICIvIiwgInNlcnZpY2UiOiAicyJ9XX0=\"}"
+
+/* An evacuation of version 8 that was removed before the process started is
+ * still in force at agents. The configuration without it replaces it there if
+ * its version is that of the read, not that of the rows which are left. */
+static void
+configuration_has_the_version_of_its_read(void **state)
+{
+    (void)state;
+    operator_rows = CONFIG;
+    Store_Follow(&store, on_rows, NULL);
+    run_until_read();
+    assert_int_equal(config_version, 9);
+    assert_int_equal(routes_version, 4);
+}
+
+/* As above, for a process that is up: the configuration in force may have come
+ * from another entry, and then its own reads never had the row that was
+ * removed. */
+static void
+configuration_has_the_version_of_a_later_read(void **state)
+{
+    (void)state;
+    operator_rows = CONFIG;
+    lost_feeds = PF_TABLE_COUNT;
+    Store_Follow(&store, on_rows, NULL);
+    while (delivered_version != 12) {
+        assert_true(lws_service(loop.lws, 0) >= 0);
+    }
+    assert_int_equal(config_version, 12);
+    assert_int_equal(routes_version, 4);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int
@@ -175,6 +249,8 @@
         TEST(both_tables_are_read),
         TEST(a_silent_connection_does_not_delay_the_first_read),
         TEST(a_late_answer_is_ignored),
+        TEST(configuration_has_the_version_of_its_read),
+        TEST(configuration_has_the_version_of_a_later_read),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
