follow: a table read page by page is followed from its first page

The feed was continued from the version of the last page, so a row of an earlier page that changed between the two was not delivered until it changed again: a process that registered meanwhile, or a change by the operator.

The feed now continues from the version of the first page, which is also that of the configuration made of the read. Rows of later pages may be delivered twice; the second time they are not newer and are ignored.

Test: changes_are_followed_from_the_first_page, 11 instead of 9 before.

--- a/shell/include/shell/store.h
+++ b/shell/include/shell/store.h
@@ -47,9 +47,10 @@
     struct store *store;
     enum pf_table table;
     uint64_t after; /**< All changes up to this version have been delivered. */
-    int is_full_read; /**< The complete table is being read. */
-    uint64_t step;    /**< Number of answers applied. An answer to a call of an
-                           earlier step is ignored. */
+    int is_full_read;      /**< The complete table is being read. */
+    uint64_t read_version; /**< Version of the first page of a full read. */
+    uint64_t step; /**< Number of answers applied. An answer to a call of an
+                        earlier step is ignored. */
     struct store_feed_call calls[STORE_FEED_CALLS];
     uint64_t next_us; /**< Earliest time of the next call. */
     uint64_t sent_us; /**< When the first call of this step was sent. */
--- a/shell/src/follow.c
+++ b/shell/src/follow.c
@@ -98,10 +98,10 @@
 }
 
 /* Delivers as removed the known rows that a full read did not find. When they
- * were removed is unknown; `version`, that of the answer, is the upper
- * bound. */
+ * were removed is unknown; the version of the read is the upper bound, except
+ * for removals that the feed delivers again. */
 static void
-add_removals(struct store_feed *feed, uint64_t version)
+add_removals(struct store_feed *feed)
 {
     const char *key;
     json_t *known;
@@ -111,7 +111,7 @@
         if (!json_object_get(feed->seen_keys, key)) {
             json_array_append_new(
                 list, json_pack("{s:s,s:I,s:n}", "key", key, "version",
-                                (json_int_t)version, "value"));
+                                (json_int_t)feed->read_version, "value"));
         }
     }
     if (json_array_size(list)) {
@@ -133,15 +133,17 @@
     }
 }
 
+/* The pages of a full read are of different versions. What changes meanwhile
+ * may be missing in them, so the feed goes on from the first page's. */
 static void
-finish_full_read(struct store_feed *feed, uint64_t version)
+finish_full_read(struct store_feed *feed)
 {
     struct store *store = feed->store;
-    add_removals(feed, version);
+    add_removals(feed);
     feed->is_full_read = 0;
-    feed->after = version;
+    feed->after = feed->read_version;
     if (feed->table == PF_TABLE_OPERATOR) {
-        Pf_CompleteOperatorRows(&store->operator_rows, version);
+        Pf_CompleteOperatorRows(&store->operator_rows, feed->read_version);
         deliver_operator_rows(store);
     }
     json_t *no_rows = json_array();
@@ -160,17 +162,20 @@
         }
         return;
     }
-    if (rows->version < feed->after) {
+    if (rows->version < feed->after || rows->version < feed->read_version) {
         /* Applying an outdated read would revert rows to older versions. */
         feed->next_us = Loop_Now().us + RETRY_DELAY_US;
         return;
     }
+    if (feed->last_key[0] == '\0') {
+        feed->read_version = rows->version;
+    }
     mark_seen(feed, rows->list);
     if (json_array_size(rows->list)) {
         apply_rows(feed, rows->list);
     }
     if (!rows->has_more) {
-        finish_full_read(feed, rows->version);
+        finish_full_read(feed);
     }
 }
 
@@ -178,6 +183,7 @@
 begin_full_read(struct store_feed *feed)
 {
     feed->is_full_read = 1;
+    feed->read_version = 0;
     feed->last_key[0] = '\0';
     json_object_clear(feed->seen_keys);
 }
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -2,13 +2,15 @@
  *
  * Guards against a start that waits for the whole time-out of a call because
  * its connection has become silent, while a new connection would be served;
- * against answers that arrive after a later one was applied; and against a
+ * against answers that arrive after a later one was applied; against a
  * configuration that others take for an older one than they have, because a
- * row was removed before the start. */
+ * row was removed before the start; and against changes that are lost while a
+ * table is read page by page. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -39,18 +41,27 @@
 static uint64_t routes_version;   /* Likewise. */
 static int lost_feeds;            /* Number of feeds answered with 410. */
 static unsigned read_version;     /* Of the answers to full reads. */
+static unsigned page_version;     /* Of second pages; 0 if there are none. */
+static unsigned long long followed_from; /* The last feed of the operator's
+                                            table started there. */
 
 static void
-answer_rows(conn_id conn, const char *rows, unsigned version)
+answer_page(conn_id conn, const char *rows, unsigned version, int has_more)
 {
     char body[512];
     snprintf(body, sizeof(body),
-             "{\"rows\":[%s],\"hasMore\":false,\"versionNumber\":%u,"
+             "{\"rows\":[%s],\"hasMore\":%s,\"versionNumber\":%u,"
              "\"nowMs\":1}",
-             rows, version);
+             rows, has_more ? "true" : "false", version);
     Hs_ReplyJson(&server, conn, 200, body);
 }
 
+static void
+answer_rows(conn_id conn, const char *rows, unsigned version)
+{
+    answer_page(conn, rows, version, 0);
+}
+
 static void
 answer(conn_id conn, unsigned version)
 {
@@ -63,17 +74,24 @@
     (void)context;
     assert_true(request_count < MAX_REQUESTS);
     requests[request_count++] = request->conn;
+    int is_operator = strstr(request->query, "table=op") != NULL;
     if (strstr(request->path, "feed")) {
+        if (is_operator) {
+            followed_from =
+                strtoull(strstr(request->query, "after=") + 6, NULL, 10);
+        }
         if (lost_feeds > 0) {
             lost_feeds--;
             read_version = 12;
             Hs_ReplyJson(&server, request->conn, 410, "{}");
         }
     }
+    else if (is_operator && page_version && strstr(request->query, "from=")) {
+        answer_rows(request->conn, "", page_version);
+    }
     else if (request_count > silent_count) {
-        answer_rows(request->conn,
-                    strstr(request->query, "table=op") ? operator_rows : "",
-                    read_version);
+        answer_page(request->conn, is_operator ? operator_rows : "",
+                    read_version, is_operator && page_version);
     }
 }
 
@@ -119,6 +137,8 @@
     delivered_version = config_version = routes_version = 0;
     operator_rows = "";
     lost_feeds = 0;
+    page_version = 0;
+    followed_from = 0;
     read_version = 9;
     snprintf(listen_addr, sizeof(listen_addr), "127.%u.%u.%u:%d",
              1 + (pid >> 16 & 63), pid >> 8 & 255, 1 + (pid & 255) % 254,
@@ -240,6 +260,23 @@
     assert_int_equal(routes_version, 4);
 }
 
+/* The second page is of a later version than the first one. What changed in
+ * the first one between the two is in neither: the feed has to start at the
+ * version of the first page. */
+static void
+changes_are_followed_from_the_first_page(void **state)
+{
+    (void)state;
+    operator_rows = CONFIG;
+    page_version = 11;
+    Store_Follow(&store, on_rows, NULL);
+    while (followed_from == 0) {
+        assert_true(lws_service(loop.lws, 0) >= 0);
+    }
+    assert_int_equal(followed_from, 9);
+    assert_int_equal(config_version, 9);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int
@@ -251,6 +288,7 @@
         TEST(a_late_answer_is_ignored),
         TEST(configuration_has_the_version_of_its_read),
         TEST(configuration_has_the_version_of_a_later_read),
+        TEST(changes_are_followed_from_the_first_page),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
