entry, agent: a job may be named 0

GET answered 410 while it ran, and DELETE did not cancel it.

Cause: 0 stood for "no name", but any 16 digits are a name. The loss of the connection was not taken as that of a job, so nothing was cancelled; the index of names left the job out; an agent did not compare it with what it ran for another entry; and a task of it that crashes upstreams was never given up.

Change: restartable jobs have a name, others have none; the name itself is not looked at. Agents keep that with the task, because its flags are only known once it runs.

--- a/core/include/core/agent.h
+++ b/core/include/core/agent.h
@@ -100,7 +100,8 @@
     uint32_t run_us;
     unsigned flags; /**< enum sub_flags and START_*. */
     struct resources need;
-    uint64_t job_name; /**< The caller's name for the job, 0 for none. */
+    uint64_t job_name;         /**< The caller's name for the job; any value is
+                                    valid. */
     char kind[WIRE_NAME_SIZE]; /**< Of the job. */
     uint64_t lease_end_us;
     uint64_t stop_us;       /**< When to repeat the stop order, 0 if none was
@@ -109,6 +110,7 @@
                                  ordered. */
     uint8_t lease_expired; /**< It is being stopped because its lease ended. */
     uint8_t acked;         /**< The owner has acknowledged the outcome. */
+    uint8_t has_job_name;  /**< `job_name` is set: the job is restartable. */
     struct ag_task *prev, *following; /**< Links in `agent.running`. */
     struct bytes output;              /**< Owned by the record. */
 };
--- a/core/include/core/job.h
+++ b/core/include/core/job.h
@@ -111,8 +111,8 @@
     uint32_t max_attempts; /**< The job fails when one of its tasks has failed
                                 this often. */
     enum priority priority;
-    unsigned flags;        /**< enum sub_flags. */
-    uint64_t name;         /**< The caller's name for the job, 0 for none. */
+    unsigned flags; /**< enum sub_flags. */
+    uint64_t name;  /**< The caller's name for the job; SUB_RESTART only. */
     uint64_t objective_us; /**< Target time of the answer, 0 when only the
                                 deadline counts. */
     uint64_t body_hash;    /**< Enti_HashBody(), 0 when not submitted. */
--- a/core/src/agent/fence.c
+++ b/core/src/agent/fence.c
@@ -108,7 +108,7 @@
 log_cancel(struct agent *agent, const struct ag_entry *entry,
            const struct ag_job *job)
 {
-    if (!job->tasks || !job->tasks->job_name) {
+    if (!job->tasks || !job->tasks->has_job_name) {
         return;
     }
     struct act_log_event event = {.type = LOG_EVENT_CANCELLED,
--- a/core/src/agent/hold.c
+++ b/core/src/agent/hold.c
@@ -40,13 +40,13 @@
                 const struct msg_start *start)
 {
     const struct ag_task *other;
-    if (start->name == 0 || !(start->flags & SUB_RESTART)) {
+    if (!(start->flags & SUB_RESTART)) {
         return 0;
     }
     DL_FOREACH2(agent->running, other, following)
     {
-        if (other->job_name == start->name && other->no == start->task &&
-            other->job != task->job) {
+        if (other->has_job_name && other->job_name == start->name &&
+            other->no == start->task && other->job != task->job) {
             return 1;
         }
     }
--- a/core/src/agent/start.c
+++ b/core/src/agent/start.c
@@ -198,6 +198,7 @@
     }
     if (task) {
         task->job_name = start->name;
+        task->has_job_name = (start->flags & SUB_RESTART) != 0;
     }
     return task;
 }
--- a/core/src/entry/crash.c
+++ b/core/src/entry/crash.c
@@ -113,7 +113,7 @@
 int
 Enti_GiveUp(struct entry *entry, struct now now, struct ent_job *job)
 {
-    if (!job->name || !entry->crashes.suspect_index) {
+    if (!Enti_IsRestartable(job) || !entry->crashes.suspect_index) {
         return 0;
     }
     for (uint32_t i = 0; i < job->task_count; i++) {
@@ -219,9 +219,6 @@
     struct msg_crash known = *crash;
     Enti_CountKindCrash(entry, now, at_us, &known);
     for (uint32_t i = 0; i < known.count; i++) {
-        if (known.suspects[i].name) {
-            count_suspect(entry, now, &known.suspects[i],
-                          i < known.young_count);
-        }
+        count_suspect(entry, now, &known.suspects[i], i < known.young_count);
     }
 }
--- a/core/src/entry/job.c
+++ b/core/src/entry/job.c
@@ -67,7 +67,7 @@
 static void
 update_name_index(struct entry *entry, struct ent_job *job, int is_open)
 {
-    if (job->name == 0 || job->in_name_index == is_open) {
+    if (!Enti_IsRestartable(job) || job->in_name_index == is_open) {
         return;
     }
     job->in_name_index = (uint8_t)is_open;
--- a/core/src/entry/restart.c
+++ b/core/src/entry/restart.c
@@ -19,10 +19,8 @@
 struct ent_job *
 Enti_FindJobByName(const struct entry *entry, uint64_t name)
 {
-    struct ent_job *job = NULL;
-    if (name) {
-        HASH_FIND(name_hh, entry->name_index, &name, sizeof(name), job);
-    }
+    struct ent_job *job;
+    HASH_FIND(name_hh, entry->name_index, &name, sizeof(name), job);
     return job;
 }
 
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -20,8 +20,9 @@
 
 /* Data of a connection whose caller waits for a job. */
 struct pending_request {
-    struct key key; /* All 0 for none. */
-    uint64_t job;   /* The caller's name for the job, 0 for none. */
+    struct key key;
+    uint64_t job; /* The caller's name for the job; any value may be one. */
+    int has_job;  /* 0 for a request of another kind, or one refused. */
 };
 
 /* Returns 1 if an agent that is not silent offers a service. */
@@ -150,7 +151,7 @@
     struct now now = Loop_Now();
     struct err err = {0};
     struct pf_job job;
-    struct pending_request pending = {.job = name};
+    struct pending_request pending = {.job = name, .has_job = 1};
     if (shed_load(ingress, request, name)) {
         return;
     }
@@ -272,7 +273,7 @@
     struct ingress *ingress = context;
     struct pending_request pending;
     memcpy(&pending, user, sizeof(pending));
-    if (pending.job) {
+    if (pending.has_job) {
         LOG_INFO("callers", "Caller disconnected. job=%016" PRIx64,
                  pending.job);
         Ent_OnCallerDisconnected(ingress->core, conn, &pending.key);
--- a/scenarios/platform.py
+++ b/scenarios/platform.py
@@ -120,14 +120,17 @@
       [a[0] for a in answers])
 check("the capacity is not exceeded", platform("GET", "/runs")["over"] == 0)
 
-# A caller disconnects.
-with socket.create_connection(("127.0.0.1", CALLERS[0]), 5) as caller:
-    data = json.dumps(job(20000, 2)).encode()
-    caller.sendall((f"POST /desk/00000000000b0001 HTTP/1.1\r\nHost: desk.example\r\n"
-                    f"Jacinthpick-Request-Deadline: 60000\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
-    wait_for("the tasks of the job run", lambda: platform("GET", "/runs")["running"] == 2)
-wait_for("the tasks end when the caller disconnects", lambda: platform("GET", "/runs")["running"] == 0, 1)
+# A caller disconnects. Any 16 digits name a job, also those of the number 0.
+for name in ("00000000000b0001", "0000000000000000"):
+    with socket.create_connection(("127.0.0.1", CALLERS[0]), 5) as caller:
+        data = json.dumps(job(20000, 2)).encode()
+        caller.sendall((f"POST /desk/{name} HTTP/1.1\r\nHost: desk.example\r\n"
+                        f"Jacinthpick-Request-Deadline: 60000\r\n"
+                        f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
+        wait_for("the tasks of the job run", lambda: platform("GET", "/runs")["running"] == 2)
+        check(f"the job {name} is found", call(CALLERS[0], "GET", f"/desk/{name}")[0] == 200)
+    wait_for(f"the tasks of {name} end when the caller disconnects",
+             lambda: platform("GET", "/runs")["running"] == 0, 1)
 
 # A caller disconnects while its entry is paused, and its job waits for capacity.
 blocker = threading.Thread(target=submit, args=(CALLERS[1], job(700, 2, 8000)))
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -414,15 +414,14 @@
 }
 
 static void
-a_cancellation_is_logged_once(void **state)
+check_cancellation_is_logged_once(uint64_t name)
 {
-    (void)state;
     struct msg cancel = {.type = MSG_CANCEL};
     node->run_ms = -1;
     for (uint32_t task = 1; task <= 3; task++) {
         struct msg start = make_start(1, task, 1);
         start.u.start.flags = SUB_RESTART;
-        start.u.start.name = 0x4692dca03af585dbull;
+        start.u.start.name = name;
         deliver(&start);
     }
     cancel.u.cancel.key = make_start(1, 1, 1).u.start.key;
@@ -430,10 +429,24 @@
     deliver(&cancel);
     deliver(&cancel);
     assert_int_equal(cancelled_events, 1);
-    assert_int_equal(cancelled.job, 0x4692dca03af585dbull);
+    assert_int_equal(cancelled.job, name);
     assert_int_equal(cancelled.running, 3);
 }
 
+static void
+a_cancellation_is_logged_once(void **state)
+{
+    (void)state;
+    check_cancellation_is_logged_once(0x4692dca03af585dbull);
+}
+
+static void
+a_cancellation_of_a_job_named_0_is_logged_once(void **state)
+{
+    (void)state;
+    check_cancellation_is_logged_once(0);
+}
+
 /* The records of older keys are removed while a run of one goes on. */
 static void
 a_run_of_an_expired_key_is_stopped_by_its_cancellation(void **state)
@@ -494,6 +507,7 @@
         AGENT_TEST(an_upstream_that_returns_is_reported_at_once),
         AGENT_TEST(requests_are_limited_by_connections),
         AGENT_TEST(a_cancellation_is_logged_once),
+        AGENT_TEST(a_cancellation_of_a_job_named_0_is_logged_once),
         AGENT_TEST(a_run_of_an_expired_key_is_stopped_by_its_cancellation),
         AGENT_TEST(a_cancellation_of_an_unknown_expired_key_is_confirmed),
     };
--- a/wire/include/wire/msg.h
+++ b/wire/include/wire/msg.h
@@ -155,7 +155,8 @@
     const struct sub_task *tasks;
     /* The following are set for SUB_RESTART only. They are not encoded: such
      * jobs are never forwarded to another entry. */
-    uint64_t name;       /**< Job identifier chosen by the caller. */
+    uint64_t name;       /**< Job identifier chosen by the caller; any value is
+                              valid. */
     uint32_t step_count; /**< 0 for a single step that needs only slots. */
     const struct sub_step *steps;
     uint32_t max_attempts; /**< Failed runs of a task that fail the job. */
@@ -264,7 +265,7 @@
     char team[WIRE_NAME_SIZE];
     uint64_t body_hash; /**< Hash of the whole submission. */
     struct bytes input;
-    uint64_t name; /**< Job identifier of the caller, 0 for none. */
+    uint64_t name; /**< Job identifier of the caller; SUB_RESTART only. */
     struct resources need;
     uint32_t estimate_ms;        /**< Estimated run time. */
     uint64_t agent_heartbeat_us; /**< `sent_us` of the latest heartbeat that
