--- a/tests/test_zero_name.c
+++ b/tests/test_zero_name.c
@@ -110,12 +110,12 @@
 static void
 task_that_crashes_upstreams_is_given_up(void **state)
 {
+    static const char *const names[] = {"worker-2", "worker-3", "worker-4"};
     struct net_node *workers[4] = {agent};
     uint32_t crashes = 0;
     (void)state;
-    for (int i = 1; i < 4; i++) {
-        workers[i] = Net_AddWorker(
-            &net, (const char *[]){"", "worker-2", "worker-3", "worker-4"}[i]);
+    for (int i = 0; i < 3; i++) {
+        workers[i + 1] = Net_AddWorker(&net, names[i]);
     }
     net.is_deadly = is_deadly;
     Net_Run(&net, 1500);
